--- /dev/null
+++ b/core/host/call.go
@@ -0,0 +1,474 @@
+package host
+
+import (
+	_ "embed" // for the state chart
+	"encoding/binary"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/pistachioarch/pistachioarch/core/chart"
+	"github.com/pistachioarch/pistachioarch/core/decl"
+	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/core/ident"
+	"github.com/pistachioarch/pistachioarch/core/peerpb"
+	"github.com/pistachioarch/pistachioarch/core/sched"
+)
+
+//go:embed call.chart
+var callChartText string
+
+var (
+	callChart = chart.MustParse("call.chart", callChartText)
+
+	stateQueued    = callChart.State("queued")
+	stateIntending = callChart.State("intending")
+	stateSent      = callChart.State("sent")
+
+	eventAdmit    = callChart.Event("admit")
+	eventRefuse   = callChart.Event("refuse")
+	eventSend     = callChart.Event("send")
+	eventIntend   = callChart.Event("intend")
+	eventDurable  = callChart.Event("durable")
+	eventWithdraw = callChart.Event("withdraw")
+	eventRetry    = callChart.Event("retry")
+	eventAnswer   = callChart.Event("answer")
+	eventFail     = callChart.Event("fail")
+	eventSettle   = callChart.Event("settle")
+)
+
+// Limits on calls.
+const (
+	maxPending      = 8 // pipelined calls of one program
+	overloadedRetry = 500 * time.Millisecond
+	movingRetry     = 50 * time.Millisecond
+	noTargetRetry   = time.Second
+	suspendedRetry  = 2 * time.Second
+)
+
+// flight is a call that has no lasting outcome yet.
+type flight struct {
+	p        *program
+	accepted *peerpb.CallAccepted
+	state    chart.State
+	waiters  []uint64
+	arrived  time.Duration
+	deadline time.Duration // 0 = none
+	then     decl.Then
+	item     sched.Item
+
+	attempt      uint32 // number of the last attempt, from 1
+	lostAttempts int    // attempts that may have run without an answer
+	target       string
+	sentAt       time.Duration
+	until        time.Duration // end of the attempt
+	// reserved is what is kept of the budget for this call: one attempt and
+	// every lost one.
+	reserved int64
+
+	finished *peerpb.CallFinished
+	failure  *failure.Failure
+}
+
+func newFlight(p *program, a *peerpb.CallAccepted, now time.Duration) *flight {
+	return &flight{p: p, accepted: a, state: callChart.Initial(), arrived: now}
+}
+
+// attemptTokens is the most that one attempt can use.
+func (f *flight) attemptTokens() int64 { return f.accepted.PromptTokens + f.accepted.MaxTokens }
+
+// fire moves the call along its chart; a step that the chart does not have is
+// a fault in this package.
+func (f *flight) fire(ev chart.Event) {
+	next, ok := callChart.Next(f.state, ev)
+	if !ok {
+		panic(failure.New(failure.Internal, "call in state %s cannot take event %d", callChart.Name(f.state), ev))
+	}
+	f.state = next
+}
+
+func bodyHash(ev *SubmitCall) uint64 {
+	b := make([]byte, 0, len(ev.Prompt)+len(ev.Service)+16)
+	b = append(b, ev.Prompt...)
+	b = append(b, 0)
+	b = append(b, ev.Service...)
+	b = binary.BigEndian.AppendUint64(b, uint64(ev.MaxTokens))
+	if ev.Idempotent {
+		b = append(b, 1)
+	}
+	return ident.Hash(b)
+}
+
+// access finds a program for its caller. Another caller is told what it would
+// be told of a program that does not exist.
+func (h *Host) access(id ident.Program, caller string) (*program, *failure.Failure) {
+	slot, err := id.Slot()
+	if err != nil {
+		return nil, failure.From(err)
+	}
+	own := h.slots.mine[slot]
+	switch {
+	case own == nil:
+		return nil, failure.Retry(failure.NotOwner, movingRetry, "slot %s is not owned here", slot)
+	case own.state == slotLoading:
+		return nil, failure.Retry(failure.Moving, movingRetry, "slot %s is being recovered", slot)
+	case !h.mayServe():
+		return nil, failure.Retry(failure.Suspended, suspendedRetry, "this host cannot tell whether it still owns the program")
+	}
+	p := h.programs[id]
+	if p == nil || p.caller != caller {
+		return nil, failure.New(failure.UnknownProgram, "no program %s", id)
+	}
+	if p.corrupt {
+		return nil, failure.Unknown(failure.Corrupt, "part of the program's journal is damaged")
+	}
+	return p, nil
+}
+
+func (h *Host) submitCall(ev *SubmitCall) {
+	p, refused := h.access(ev.Program, ev.Caller)
+	if refused != nil {
+		h.refuse(ev.Waiter, refused)
+		return
+	}
+	hash := bodyHash(ev)
+	if known := p.find(ev.Sequence); known.accepted != nil {
+		h.repeat(ev, p, known, hash)
+		return
+	}
+	f, refused := h.accept(ev, p, hash)
+	if refused != nil {
+		h.refuse(ev.Waiter, refused)
+		return
+	}
+	if p.active != nil {
+		p.pending = append(p.pending, f)
+		return
+	}
+	h.begin(f)
+}
+
+// knownCall is a call of a program by its sequence: a turn or a flight.
+type knownCall struct {
+	accepted *peerpb.CallAccepted
+	turn     *turn
+	flight   *flight
+}
+
+func (p *program) find(sequence uint32) knownCall {
+	n := uint32(len(p.turns))
+	if sequence < n {
+		t := p.turns[sequence]
+		return knownCall{accepted: t.accepted, turn: t}
+	}
+	if p.active != nil && sequence == n {
+		return knownCall{accepted: p.active.accepted, flight: p.active}
+	}
+	for _, f := range p.pending {
+		if f.accepted.Sequence == sequence {
+			return knownCall{accepted: f.accepted, flight: f}
+		}
+	}
+	return knownCall{}
+}
+
+// repeat answers a call that was submitted before: the same body is the same
+// call and is not executed again.
+func (h *Host) repeat(ev *SubmitCall, p *program, known knownCall, hash uint64) {
+	switch {
+	case known.accepted.BodyHash != hash:
+		h.refuse(ev.Waiter, failure.New(failure.BodyChanged, "call %d was submitted with another body", ev.Sequence))
+	case known.turn != nil:
+		h.ready.Replies = append(h.ready.Replies, Reply{Waiter: ev.Waiter, Outcome: known.turn.outcome(p.id)})
+	default:
+		known.flight.waiters = append(known.flight.waiters, ev.Waiter)
+	}
+}
+
+// accept checks what can be checked before the call's turn comes.
+func (h *Host) accept(ev *SubmitCall, p *program, hash uint64) (*flight, *failure.Failure) {
+	next := p.nextSequence()
+	switch {
+	case p.ended:
+		return nil, failure.New(failure.ProgramEnded, "program has ended: %s", p.reason)
+	case ev.Sequence != next:
+		return nil, failure.New(failure.SequenceGap, "the next call is %d, not %d", next, ev.Sequence)
+	case p.slot.state == slotMoving:
+		return nil, failure.Retry(failure.Moving, movingRetry, "the program moves to another host")
+	case len(p.pending) >= maxPending:
+		return nil, failure.Retry(failure.Overloaded, overloadedRetry, "more than %d calls of the program wait", maxPending)
+	case h.log.writer.PendingBytes() > h.cfg.MaxTailBytes:
+		return nil, failure.Retry(failure.Overloaded, suspendedRetry, "the journal waits for the platform")
+	}
+	f := newFlight(p, &peerpb.CallAccepted{
+		Sequence: ev.Sequence, Service: ev.Service, BodyHash: hash, Idempotent: ev.Idempotent,
+		PromptTokens: ev.PromptTokens, MaxTokens: ev.MaxTokens, Prompt: ev.Prompt,
+	}, h.now)
+	if ev.Deadline > 0 {
+		f.deadline = h.now + ev.Deadline
+	}
+	f.waiters = append(f.waiters, ev.Waiter)
+	return f, nil
+}
+
+// begin takes a call whose turn has come: rules, limits, budget, queue.
+func (h *Host) begin(f *flight) {
+	p := f.p
+	p.active = f
+	p.slot.busy++
+	p.usedAt = h.now
+	h.active[p] = struct{}{}
+	if refused := h.admit(f); refused != nil {
+		f.fire(eventRefuse)
+		f.failure = refused
+		h.close(f)
+		return
+	}
+	h.append(p, &peerpb.Record{Body: &peerpb.Record_Accepted{Accepted: f.accepted}})
+	f.fire(eventAdmit)
+	h.enqueue(f, false)
+}
+
+// admit decides whether the call may run, and reserves its budget.
+func (h *Host) admit(f *flight) *failure.Failure {
+	if refused := h.decide(f); refused != nil {
+		return refused
+	}
+	svc := h.set().Services[f.accepted.Service]
+	if refused := h.guardLoops(f, svc); refused != nil {
+		return refused
+	}
+	if refused := h.guardLoad(f, svc); refused != nil {
+		return refused
+	}
+	if svc.Kind == decl.Plain {
+		f.accepted.PromptTokens, f.accepted.MaxTokens = 0, 0
+		return nil
+	}
+	return h.takeBudget(f)
+}
+
+// decide applies the first rule that matches and the call's deadlines.
+func (h *Host) decide(f *flight) *failure.Failure {
+	set, p, a := h.set(), f.p, f.accepted
+	if set == nil {
+		return failure.Retry(failure.PlatformUnavailable, suspendedRetry, "no declaration is known yet")
+	}
+	if a.Service == "" {
+		a.Service = p.service
+	}
+	then, ok := set.Route(&decl.Env{
+		Service: a.Service, Caller: p.caller, DataCentre: h.cfg.DataCentre, Sequence: int(a.Sequence),
+		PromptTokens: int(a.PromptTokens), HistoryTokens: int(p.history), MaxTokens: int(a.MaxTokens),
+		SpentTokens: int(p.spent), Idempotent: a.Idempotent, SubAgent: p.parent != "",
+	})
+	if !ok {
+		then = decl.Then{Priority: decl.DefaultPriority, Retries: -1}
+	}
+	if then.Retries < 0 {
+		then.Retries = decl.DefaultRetries
+	}
+	if then.Service != "" {
+		a.Service = then.Service
+	}
+	f.then = then
+	f.deadline = earliest(f.deadline, p.deadline)
+	if then.Deadline > 0 {
+		f.deadline = earliest(f.deadline, f.arrived+then.Deadline)
+	}
+	switch {
+	case then.Reject != "":
+		return failure.New(failure.Rejected, "rule %q: %s", then.Rule, then.Reject)
+	case set.Services[a.Service] == nil:
+		return failure.New(failure.UnknownService, "no service %q", a.Service)
+	}
+	return nil
+}
+
+func earliest(a, b time.Duration) time.Duration {
+	if a == 0 || b != 0 && b < a {
+		return b
+	}
+	return a
+}
+
+// guardLoops ends programs that run without end.
+func (h *Host) guardLoops(f *flight, svc *decl.Service) *failure.Failure {
+	p := f.p
+	switch {
+	case svc.RepeatLimit > 0 && p.repeats(f.accepted.BodyHash, svc.RepeatLimit):
+		h.end(p, string(failure.LoopDetected))
+		return failure.New(failure.LoopDetected, "the same call came more than %d times in a row", svc.RepeatLimit)
+	case len(p.turns) >= svc.TurnLimit:
+		h.end(p, string(failure.TurnLimit))
+		return failure.New(failure.TurnLimit, "a program has at most %d calls", svc.TurnLimit)
+	case svc.Kind == decl.Engine && p.history+f.accepted.PromptTokens > svc.HistoryTokens:
+		return failure.New(failure.HistoryTooLong, "history and prompt exceed %d tokens", svc.HistoryTokens)
+	}
+	return nil
+}
+
+// guardLoad refuses at once what would not be served in time.
+func (h *Host) guardLoad(f *flight, svc *decl.Service) *failure.Failure {
+	caller := f.p.caller
+	if c := h.set().Callers[caller]; c != nil && !h.allow(limitKey{caller: caller}, c.CallsPerSecond) {
+		return failure.Retry(failure.RateLimited, perCall(c.CallsPerSecond), "caller %s is over its rate", caller)
+	}
+	if !h.allow(limitKey{caller: caller, rule: f.then.Rule}, f.then.CallsPerSecond) {
+		return failure.Retry(failure.RateLimited, perCall(f.then.CallsPerSecond), "rule %q limits the rate", f.then.Rule)
+	}
+	if !h.sched.Usable(h.now, svc.Name) {
+		return failure.Retry(failure.NoTarget, noTargetRetry, "no target of %s takes work", svc.Name)
+	}
+	expected := h.sched.Expect(svc.Name)
+	if h.sched.Waiting(svc.Name) >= svc.QueueLimit {
+		return failure.Retry(failure.Overloaded, max(overloadedRetry, expected), "the queue of %s is full", svc.Name)
+	}
+	if f.deadline > 0 && h.now+expected >= f.deadline {
+		return failure.Retry(failure.DeadlineExceeded, max(overloadedRetry, expected), "the queue is longer than the deadline")
+	}
+	return nil
+}
+
+type limitKey struct{ caller, rule string }
+
+// allow takes one call from a token bucket that holds one second's worth.
+func (h *Host) allow(key limitKey, perSecond float64) bool {
+	if perSecond <= 0 {
+		return true
+	}
+	l := h.limits[key]
+	if l == nil {
+		l = rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
+		h.limits[key] = l
+	}
+	if l.Limit() != rate.Limit(perSecond) {
+		l.SetLimitAt(h.clock(), rate.Limit(perSecond))
+		l.SetBurstAt(h.clock(), max(1, int(perSecond)))
+	}
+	return l.AllowN(h.clock(), 1)
+}
+
+func perCall(perSecond float64) time.Duration {
+	return time.Duration(float64(time.Second) / perSecond)
+}
+
+// takeBudget clips the output to what the budget leaves and reserves it.
+func (h *Host) takeBudget(f *flight) *failure.Failure {
+	a := f.accepted
+	a.MaxTokens = min(a.MaxTokens, h.left(f.p)-a.PromptTokens)
+	if a.MaxTokens < 1 {
+		return failure.New(failure.BudgetExhausted, "%d tokens are left, the prompt may take %d", h.left(f.p), a.PromptTokens)
+	}
+	f.reserved = f.attemptTokens()
+	h.reserve(f.p, f.reserved)
+	return nil
+}
+
+// enqueue hands the call to the scheduler.
+func (h *Host) enqueue(f *flight, retry bool) {
+	p := f.p
+	holder, held := p.bestHolder()
+	objective := f.then.Objective
+	if svc := h.set().Services[f.accepted.Service]; objective == "" && svc != nil {
+		objective = svc.Objective
+	}
+	f.item = sched.Item{
+		Program: p.id, Sequence: f.accepted.Sequence, Service: f.accepted.Service,
+		Priority: f.then.Priority, Objective: objective,
+		Attained: p.spent, Prompt: f.accepted.PromptTokens, History: p.history, Output: f.accepted.MaxTokens,
+		Arrived: f.arrived, NotBefore: f.item.NotBefore, Holder: holder, HolderTokens: held, Avoid: f.item.Avoid,
+	}
+	if !h.sched.Enqueue(&f.item, retry) {
+		h.fail(f, failure.Retry(failure.Overloaded, overloadedRetry, "no room in the queue of %s", f.accepted.Service))
+		return
+	}
+	if budget := h.sched.RetryBudget(f.accepted.Service); budget != nil && !retry {
+		budget.First()
+	}
+}
+
+func (p *program) bestHolder() (string, int64) {
+	var best holder
+	for _, x := range p.holders {
+		if x.tokens > best.tokens {
+			best = x
+		}
+	}
+	return best.target, best.tokens
+}
+
+// dispatch sends what the scheduler can place.
+func (h *Host) dispatch() {
+	if !h.mayServe() {
+		return
+	}
+	for {
+		it, t := h.sched.Next(h.now)
+		if it == nil {
+			return
+		}
+		p := h.programs[it.Program]
+		if p == nil || p.active == nil || &p.active.item != it {
+			h.sched.Withdraw(t.Decl.Name)
+			continue
+		}
+		h.launch(p.active, t)
+	}
+}
+
+// launch begins an attempt: the intent first, which also tells a new owner
+// which targets may hold cache of the program.
+func (h *Host) launch(f *flight, t *sched.Target) {
+	f.attempt++
+	f.target = t.Decl.Name
+	f.p.hold(f.target, 0)
+	lsn := h.append(f.p, &peerpb.Record{Body: &peerpb.Record_Intent{Intent: &peerpb.CallIntent{
+		Sequence: f.accepted.Sequence, Target: f.target, Attempt: f.attempt,
+	}}})
+	if f.accepted.Idempotent {
+		f.fire(eventSend)
+		h.transmit(f, t)
+		return
+	}
+	f.fire(eventIntend)
+	attempt := f.attempt
+	h.whenDurable(lsn, f, 0, func(f *flight) {
+		if f.state == stateIntending && f.attempt == attempt {
+			h.intentDurable(f)
+		}
+	})
+}
+
+// intentDurable sends a non-idempotent call unless something changed meanwhile.
+func (h *Host) intentDurable(f *flight) {
+	t, ok := h.sched.Target(f.target)
+	if !ok || t.Decl.Leaving || !h.mayServe() {
+		h.withdraw(f)
+		f.fire(eventWithdraw)
+		h.enqueue(f, true)
+		return
+	}
+	f.fire(eventDurable)
+	h.transmit(f, t)
+}
+
+func (h *Host) withdraw(f *flight) { h.sched.Withdraw(f.target) }
+
+func (h *Host) transmit(f *flight, t *sched.Target) {
+	svc := h.set().Services[f.accepted.Service]
+	f.sentAt = h.now
+	f.until = earliest(h.now+svc.Timeout, f.deadline)
+	send := Send{
+		Call: f.call(), Target: t.Decl, Kind: svc.Kind, Slot: f.p.slot.slot, Epoch: f.p.slot.epoch,
+		Prompt: f.accepted.Prompt, MaxTokens: f.accepted.MaxTokens, Priority: f.then.Priority, Timeout: f.until - h.now,
+	}
+	if svc.Kind == decl.Engine {
+		send.History = f.p.past()
+	}
+	h.ready.Sends = append(h.ready.Sends, send)
+}
+
+func (f *flight) call() CallID {
+	return CallID{Program: f.p.id, Sequence: f.accepted.Sequence, Attempt: f.attempt}
+}
--- /dev/null
+++ b/core/host/dump.go
@@ -0,0 +1,179 @@
+package host
+
+// Dump is the state of a member for operators. It holds no prompt text.
+type Dump struct {
+	Member        string         `json:"member"`
+	DataCentre    string         `json:"data_centre"`
+	NowMS         int64          `json:"now_ms"`
+	MayServe      bool           `json:"may_serve"`
+	Draining      bool           `json:"draining"`
+	Lost          bool           `json:"lost"`
+	PlatformOK    bool           `json:"platform_reachable"`
+	ConfigVersion uint64         `json:"config_version"`
+	ConfigRefused uint64         `json:"config_refused,omitempty"`
+	Lease         DumpLease      `json:"lease"`
+	Journal       DumpJournal    `json:"journal"`
+	Slots         []DumpSlot     `json:"slots"`
+	Peers         []DumpPeer     `json:"peers"`
+	Targets       []DumpTarget   `json:"targets"`
+	Queues        map[string]int `json:"queues"`
+	Programs      []DumpProgram  `json:"programs"`
+	Releases      int            `json:"releases_pending"`
+	Recoveries    int            `json:"recoveries"`
+	Stats         Stats          `json:"stats"`
+}
+
+// DumpLease is the member's lease.
+type DumpLease struct {
+	Version  uint64 `json:"version"`
+	LeftMS   int64  `json:"left_ms"`
+	TailPeer string `json:"tail_peer"`
+}
+
+// DumpJournal is the member's journal stream.
+type DumpJournal struct {
+	LastLSN      uint64 `json:"last_lsn"`
+	PlatformLSN  uint64 `json:"platform_lsn"`
+	TailLSN      uint64 `json:"tail_lsn"`
+	Segments     uint64 `json:"segments"`
+	FirstSegment uint64 `json:"first_segment"`
+	PendingBytes int    `json:"pending_bytes"`
+	Waiting      int    `json:"waiting"`
+	TailsHeld    int    `json:"tails_held"`
+}
+
+// DumpSlot is one slot that the member owns.
+type DumpSlot struct {
+	Slot     string `json:"slot"`
+	Epoch    uint64 `json:"epoch"`
+	State    string `json:"state"`
+	Programs int    `json:"programs"`
+	Busy     int    `json:"busy"`
+}
+
+// DumpPeer is another member.
+type DumpPeer struct {
+	Member        string `json:"member"`
+	DataCentre    string `json:"data_centre"`
+	Address       string `json:"address"`
+	Heard         bool   `json:"heard"`
+	Gone          bool   `json:"gone"`
+	PlatformOK    bool   `json:"platform_reachable"`
+	ConfigVersion uint64 `json:"config_version"`
+	PromiseLeftMS int64  `json:"promise_left_ms"`
+	Slots         int    `json:"slots"`
+}
+
+// DumpTarget is a declared target.
+type DumpTarget struct {
+	Target       string `json:"target"`
+	InFlight     int    `json:"in_flight"`
+	PeerInFlight int    `json:"peer_in_flight"`
+	HeldTokens   int64  `json:"held_tokens"`
+	BreakerOpen  bool   `json:"breaker_open"`
+	Leaving      bool   `json:"leaving"`
+}
+
+// DumpProgram is one program.
+type DumpProgram struct {
+	Program  string   `json:"program"`
+	Caller   string   `json:"caller"`
+	Parent   string   `json:"parent,omitempty"`
+	Turns    int      `json:"turns"`
+	State    string   `json:"state,omitempty"` // of the call under way
+	Waiting  int      `json:"waiting"`
+	Budget   int64    `json:"budget"`
+	Spent    int64    `json:"spent"`
+	Reserved int64    `json:"reserved"`
+	Ended    string   `json:"ended,omitempty"`
+	Corrupt  bool     `json:"corrupt,omitempty"`
+	Holders  []string `json:"holders,omitempty"`
+}
+
+// Dump returns the state of the member; the caller must not run Step meanwhile.
+func (h *Host) Dump() *Dump {
+	d := &Dump{
+		Member: h.self, DataCentre: h.cfg.DataCentre, NowMS: h.now.Milliseconds(),
+		MayServe: h.mayServe(), Draining: h.draining, Lost: h.ready.Lost, PlatformOK: h.ops.reachable,
+		ConfigVersion: h.declare.version, ConfigRefused: h.declare.refused,
+		Lease: DumpLease{Version: h.lease.version, LeftMS: (h.lease.until - h.now).Milliseconds(), TailPeer: h.log.tailPeer},
+		Journal: DumpJournal{
+			LastLSN: h.log.writer.Last(), PlatformLSN: h.log.writer.Durable(), TailLSN: h.log.tailAcked,
+			Segments: h.log.writer.Segment(), FirstSegment: h.log.firstKept,
+			PendingBytes: h.log.writer.PendingBytes(), Waiting: len(h.log.waits), TailsHeld: len(h.log.tails),
+		},
+		Queues: map[string]int{}, Releases: len(h.releases), Recoveries: len(h.slots.recoveries), Stats: h.stats,
+	}
+	for _, own := range h.sortedMine() {
+		d.Slots = append(d.Slots, DumpSlot{
+			Slot: own.slot.String(), Epoch: own.epoch, State: slotStates[own.state], Programs: len(own.programs), Busy: own.busy,
+		})
+	}
+	for _, p := range h.members.list {
+		d.Peers = append(d.Peers, DumpPeer{
+			Member: p.name, DataCentre: p.dataCentre, Address: p.address, Heard: h.hears(p), Gone: p.gone,
+			PlatformOK: p.platformOK, ConfigVersion: p.configVersion, Slots: p.slots,
+			PromiseLeftMS: max(0, (p.promiseUntil - h.now).Milliseconds()),
+		})
+	}
+	h.dumpTargets(d)
+	for _, id := range sortedKeys(h.programs) {
+		d.Programs = append(d.Programs, h.programs[id].dump())
+	}
+	return d
+}
+
+func (h *Host) dumpTargets(d *Dump) {
+	for _, name := range h.sched.Targets() {
+		t, _ := h.sched.Target(name)
+		d.Targets = append(d.Targets, DumpTarget{
+			Target: name, InFlight: t.InFlight, PeerInFlight: t.PeerInFlight, HeldTokens: t.Held + t.PeerHeld,
+			BreakerOpen: t.Breaker.Open(h.now), Leaving: t.Decl.Leaving,
+		})
+	}
+	if set := h.set(); set != nil {
+		for name := range set.Services {
+			d.Queues[name] = h.sched.Waiting(name)
+		}
+	}
+}
+
+func (p *program) dump() DumpProgram {
+	d := DumpProgram{
+		Program: string(p.id), Caller: p.caller, Parent: string(p.parent), Turns: len(p.turns), Waiting: len(p.pending),
+		Budget: p.budget, Spent: p.spent, Reserved: p.reserved, Corrupt: p.corrupt,
+	}
+	if p.active != nil {
+		d.State = callChart.Name(p.active.state)
+	}
+	if p.ended {
+		d.Ended = p.reason
+	}
+	for _, x := range p.holders {
+		d.Holders = append(d.Holders, x.target)
+	}
+	return d
+}
+
+// Caller returns the caller with the token digest, as declared.
+func (h *Host) Caller(digest string) (name string, budget int64, ok bool) {
+	if h.set() == nil {
+		return "", 0, false
+	}
+	c, ok := h.set().CallerByToken(digest)
+	if !ok {
+		return "", 0, false
+	}
+	return c.Name, c.Budget, true
+}
+
+// ServiceLimits returns the largest history of a service, in tokens.
+func (h *Host) ServiceLimits(name string) (historyTokens int64, ok bool) {
+	if h.set() == nil || h.set().Services[name] == nil {
+		return 0, false
+	}
+	return h.set().Services[name].HistoryTokens, true
+}
+
+// ConfigVersion returns the version of the declaration in force, 0 for none.
+func (h *Host) ConfigVersion() uint64 { return h.declare.version }
--- /dev/null
+++ b/core/host/lease.go
@@ -0,0 +1,156 @@
+package host
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// LeasePrefix is the key prefix of all leases: "leases/<data centre>/<member>".
+const LeasePrefix = "leases/"
+
+// LeaseKey is the key of one member's lease.
+func LeaseKey(dataCentre, member string) string {
+	return LeasePrefix + dataCentre + "/" + member
+}
+
+// LeaseObject is a lease as it stands at the platform. It also registers the
+// member with its peers.
+type LeaseObject struct {
+	Member     string `json:"member"`
+	Host       string `json:"host"`
+	DataCentre string `json:"data_centre"`
+	Address    string `json:"address"`
+	DurationMS int64  `json:"duration_ms"`
+	Renewal    uint64 `json:"renewal"`
+	// Tail is the member that keeps the tail of this one's journal.
+	Tail string `json:"tail,omitempty"`
+	// First and Last bound the segments of the member's journal stream that
+	// surely exist: none below First is deleted before this says so, and more
+	// may follow Last.
+	First uint64 `json:"first_segment"`
+	Last  uint64 `json:"last_segment"`
+	// RevokedBy is set by the member that takes over, or by the member itself when
+	// it has left in good order. A revoked lease is never renewed: the renewal is a conditional update and fails.
+	RevokedBy string `json:"revoked_by,omitempty"`
+}
+
+// lease is this member's own lease.
+//
+// Invariant: until never exceeds the time at which the last successful renewal
+// was first sent plus the lease's duration. Whoever waits for the lease to
+// lapse counts from a later moment (when it saw that renewal), so it waits
+// longer than the holder serves, whatever their clocks show.
+type lease struct {
+	version uint64
+	object  LeaseObject
+	held    bool // acquired once
+	until   time.Duration
+	renewed time.Duration // when the last successful renewal was sent
+	tryAt   time.Duration
+	// body is the renewal under way or of unknown outcome. It is sent again
+	// unchanged until its outcome is known: another body could not be told
+	// from a revocation.
+	body   []byte
+	sentAt time.Duration
+	busy   bool
+	// suspended is what the last tick found, for notes.
+	suspended bool
+}
+
+func (l *lease) key(h *Host) string { return LeaseKey(h.cfg.DataCentre, h.self) }
+
+func (h *Host) acquireLease() {
+	h.lease.object = LeaseObject{
+		Member: h.self, Host: h.cfg.Host, DataCentre: h.cfg.DataCentre, Address: h.cfg.Address,
+		DurationMS: h.cfg.LeaseDuration.Milliseconds(),
+	}
+	h.lease.suspended = true
+	h.renewLease()
+}
+
+func (h *Host) renewLease() {
+	l := &h.lease
+	if l.busy {
+		return
+	}
+	if l.body == nil {
+		l.object.Renewal++
+		l.object.Tail = h.log.tailPeer
+		l.object.First, l.object.Last = h.log.firstKept, h.log.writer.Segment()
+		l.body, _ = json.Marshal(l.object) // a struct of strings and numbers
+		l.sentAt = h.now
+	}
+	l.busy = true
+	h.put(l.key(h), l.version, l.body, h.leaseWritten)
+}
+
+func (h *Host) leaseWritten(status OpStatus, version uint64) {
+	l := &h.lease
+	l.busy = false
+	switch status {
+	case OpOK:
+		var written LeaseObject
+		_ = json.Unmarshal(l.body, &written) // our own
+		h.log.tailRegistered, h.log.firstRegistered = written.Tail, written.First
+		l.version, l.renewed, l.body = version, l.sentAt, nil
+		l.until = l.renewed + h.cfg.LeaseDuration
+		l.tryAt = l.renewed + h.cfg.RenewEvery
+		if !l.held {
+			l.held = true
+			h.note(Note{Kind: NoteLeaseAcquired, Member: h.self})
+		}
+	case OpConflict:
+		h.lose("lease revoked")
+	default:
+		l.tryAt = h.now + h.cfg.RenewEvery/4
+	}
+}
+
+func (h *Host) tickLease() {
+	l := &h.lease
+	if h.now >= l.tryAt {
+		h.renewLease()
+	}
+	suspended := !h.mayServe()
+	if suspended == l.suspended {
+		return
+	}
+	l.suspended = suspended
+	if suspended {
+		h.note(Note{Kind: NoteSuspended, Member: h.self})
+		return
+	}
+	h.note(Note{Kind: NoteResumed, Member: h.self})
+	h.sched.WakeAll()
+}
+
+// holdsLease reports whether the lease itself holds by this host's clock.
+func (h *Host) holdsLease() bool { return h.lease.held && h.now < h.lease.until }
+
+// mayServe reports whether no other member can own this member's slots now.
+//
+// It holds under the lease. Past the lease it holds while every peer of the
+// data centre has promised not to take over: either for DataCentreLease since
+// the last renewal, which other data centres wait out, or without end if the
+// members of all other data centres have promised too. A peer that is gone
+// (said goodbye, or its process is dead) needs no promise. Two hosts, one dead
+// and the other cut off, cannot be told from a split; then this is false.
+func (h *Host) mayServe() bool {
+	if h.ready.Lost || !h.lease.held {
+		return false
+	}
+	if h.now < h.lease.until {
+		return true
+	}
+	everywhere := true
+	for _, p := range h.members.list {
+		if p.gone || h.now < p.promiseUntil {
+			continue
+		}
+		if p.dataCentre == h.cfg.DataCentre {
+			return false
+		}
+		everywhere = false
+	}
+	return everywhere || h.now < h.lease.renewed+h.cfg.DataCentreLease-h.cfg.ClockMargin
+}
--- /dev/null
+++ b/core/host/member.go
@@ -0,0 +1,290 @@
+package host
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pistachioarch/pistachioarch/core/peerpb"
+	"github.com/pistachioarch/pistachioarch/core/sched"
+)
+
+// membership is what this host knows of the others. It comes from three
+// sources: the leases at the platform (which lag), the heartbeats, and the
+// seeds in the settings.
+type membership struct {
+	peers map[string]*peer
+	list  []*peer // the same, by name
+	seeds []string
+	beats int // heartbeats sent
+
+	beatAt    time.Duration
+	refreshAt time.Duration
+	centres   []string // other data centres, in order
+	turn      int      // whose leases are listed next
+}
+
+// peer is one other member.
+type peer struct {
+	name, address, dataCentre string
+	// lastHeard is the time of its last message; heard is false before any.
+	lastHeard time.Duration
+	heard     bool
+	suspected bool
+	// gone says that it will do nothing any more: it said goodbye, its lease is
+	// revoked, or nothing listens at its address.
+	gone bool
+	// echo is the sent_ms of its last heartbeat, returned to it with ours.
+	echo int64
+	// promiseUntil is how long it has promised, by our clock, not to take over
+	// our slots; promisedUntil what we have promised it.
+	promiseUntil, promisedUntil time.Duration
+
+	platformOK, draining, suspended bool
+	configVersion                   uint64
+	slots                           int
+
+	// What was seen of its lease, to judge when it has lapsed: version did not
+	// change since seenAt.
+	leaseVersion uint64
+	seenAt       time.Duration
+	tail         string
+	checkAt      time.Duration
+	revoked      bool
+}
+
+func (m *membership) sorted() []*peer { return m.list }
+
+func (m *membership) add(name, dataCentre, address string) *peer {
+	p := &peer{name: name, dataCentre: dataCentre, address: address}
+	m.peers[name] = p
+	at, _ := slices.BinarySearchFunc(m.list, name, func(p *peer, n string) int { return strings.Compare(p.name, n) })
+	m.list = slices.Insert(m.list, at, p)
+	return p
+}
+
+func (m *membership) remove(p *peer) {
+	delete(m.peers, p.name)
+	m.list = slices.DeleteFunc(m.list, func(q *peer) bool { return q == p })
+}
+
+// hears reports whether the peer's messages still come.
+func (h *Host) hears(p *peer) bool {
+	return p.heard && !p.gone && h.now-p.lastHeard < h.cfg.SuspectAfter
+}
+
+// local reports whether the peer is in this host's data centre.
+func (h *Host) local(p *peer) bool { return p.dataCentre == h.cfg.DataCentre }
+
+func (h *Host) tickMembers() {
+	if h.now >= h.members.beatAt {
+		h.members.beatAt = h.now + h.cfg.HeartbeatEvery
+		h.heartbeat()
+	}
+	if h.now >= h.members.refreshAt {
+		h.refreshMembers()
+	}
+	for _, p := range slices.Clone(h.members.list) {
+		h.watchPeer(p)
+	}
+}
+
+// heartbeat goes to every peer of the data centre and to one peer of each other
+// data centre in turn, so that its cost grows with the data centre, not the
+// fleet. Seeds that are no known peer get one too.
+func (h *Host) heartbeat() {
+	h.members.beats++
+	byCentre := map[string][]*peer{}
+	known := map[string]bool{h.cfg.Address: true}
+	for _, p := range h.members.list {
+		known[p.address] = true
+		if p.gone {
+			continue
+		}
+		if h.local(p) {
+			h.sendHeartbeat(p)
+			continue
+		}
+		byCentre[p.dataCentre] = append(byCentre[p.dataCentre], p)
+	}
+	h.members.centres = sortedKeys(byCentre)
+	for _, dc := range h.members.centres {
+		peers := byCentre[dc]
+		h.sendHeartbeat(peers[h.members.beats%len(peers)])
+	}
+	for _, seed := range h.members.seeds {
+		if !known[seed] {
+			h.send(seed, h.heartbeatFrame(nil))
+		}
+	}
+}
+
+func (h *Host) sendHeartbeat(p *peer) { h.send(p.address, h.heartbeatFrame(p)) }
+
+func (h *Host) heartbeatFrame(p *peer) *peerpb.Frame {
+	hb := &peerpb.Heartbeat{
+		DataCentre: h.cfg.DataCentre, Address: h.cfg.Address, LeaseVersion: h.lease.version,
+		PlatformReachable: h.ops.reachable, ConfigVersion: h.declare.version,
+		Draining: h.draining, Slots: uint32(len(h.slots.mine)), Suspended: h.lease.suspended,
+		SentMs: h.now.Milliseconds() + 1, Loads: h.loads(),
+	}
+	if p != nil {
+		hb.EchoMs = p.echo
+		if !h.ops.reachable {
+			hb.PromiseMs = h.cfg.PromiseFor.Milliseconds()
+			p.promisedUntil = h.now + h.cfg.PromiseFor
+		}
+	}
+	return &peerpb.Frame{Body: &peerpb.Frame_Heartbeat{Heartbeat: hb}}
+}
+
+func (h *Host) loads() []*peerpb.TargetLoad {
+	var loads []*peerpb.TargetLoad
+	for _, name := range h.sched.Targets() {
+		t, _ := h.sched.Target(name)
+		if t.InFlight > 0 || t.Held > 0 {
+			loads = append(loads, &peerpb.TargetLoad{Target: name, InFlight: uint32(t.InFlight), HeldTokens: t.Held})
+		}
+	}
+	return loads
+}
+
+func (h *Host) peerFrame(f *peerpb.Frame) {
+	if f.GetFrom() == "" || f.From == h.self {
+		return
+	}
+	p := h.members.peers[f.From]
+	if hb := f.GetHeartbeat(); hb != nil {
+		if p == nil {
+			p = h.members.add(f.From, hb.DataCentre, hb.Address)
+			h.sendHeartbeat(p)
+		}
+		h.heardHeartbeat(p, hb)
+		return
+	}
+	if p == nil {
+		return
+	}
+	p.lastHeard, p.heard = h.now, true
+	switch m := f.Body.(type) {
+	case *peerpb.Frame_TailAppend:
+		h.tailAppend(p, m.TailAppend)
+	case *peerpb.Frame_TailAck:
+		h.tailAck(p, m.TailAck)
+	case *peerpb.Frame_TailTrim:
+		h.tailTrim(m.TailTrim)
+	case *peerpb.Frame_TailFetch:
+		h.tailFetch(p, m.TailFetch)
+	case *peerpb.Frame_TailData:
+		h.tailData(p, m.TailData)
+	case *peerpb.Frame_RelayRequest:
+		h.relayRequest(p, m.RelayRequest)
+	case *peerpb.Frame_RelayReply:
+		h.relayReply(m.RelayReply)
+	case *peerpb.Frame_Goodbye:
+		h.peerGone(p)
+	case *peerpb.Frame_ConfigRequest:
+		h.configRequest(p)
+	case *peerpb.Frame_ConfigData:
+		h.acceptConfig(m.ConfigData.Text, 0)
+	case *peerpb.Frame_SlotChanged:
+		h.slotChanged(m.SlotChanged)
+	}
+}
+
+func (h *Host) heardHeartbeat(p *peer, hb *peerpb.Heartbeat) {
+	p.lastHeard, p.heard, p.suspected = h.now, true, false
+	if !p.revoked {
+		p.gone = false
+	}
+	p.address, p.echo = hb.Address, hb.SentMs
+	p.platformOK, p.draining, p.suspended = hb.PlatformReachable, hb.Draining, hb.Suspended
+	p.configVersion, p.slots = hb.ConfigVersion, int(hb.Slots)
+	if hb.EchoMs > 0 && hb.PromiseMs > 0 {
+		// Counted from when we sent what the peer answers, so that a message
+		// that was long under way, or read late, grants nothing.
+		sent := time.Duration(hb.EchoMs-1) * time.Millisecond
+		p.promiseUntil = max(p.promiseUntil, sent+time.Duration(hb.PromiseMs)*time.Millisecond)
+	}
+	if hb.LeaseVersion > p.leaseVersion {
+		p.leaseVersion, p.seenAt = hb.LeaseVersion, h.now
+	}
+	loads := make(map[string]sched.PeerLoad, len(hb.Loads))
+	for _, l := range hb.Loads {
+		loads[l.Target] = sched.PeerLoad{InFlight: int(l.InFlight), Held: l.HeldTokens}
+	}
+	h.sched.SetPeer(p.name, loads)
+	if hb.ConfigVersion > h.declare.version {
+		h.send(p.address, &peerpb.Frame{Body: &peerpb.Frame_ConfigRequest{ConfigRequest: &peerpb.ConfigRequest{}}})
+	}
+}
+
+// peerRefused notes that nothing listens at an address. The lease of such a
+// member must still lapse before its slots are taken over.
+func (h *Host) peerRefused(address string) {
+	for _, p := range h.members.list {
+		if p.address == address && !p.gone {
+			h.peerGone(p)
+		}
+	}
+}
+
+func (h *Host) peerGone(p *peer) {
+	p.gone = true
+	h.sched.SetPeer(p.name, nil)
+}
+
+// refreshMembers lists the leases of the own data centre and, in turn, of one
+// other: the number of reads does not grow with the number of data centres.
+func (h *Host) refreshMembers() {
+	h.members.refreshAt = h.now + h.cfg.ConfigPollEvery
+	prefix := LeasePrefix
+	if h.members.beats > 0 {
+		prefix = LeasePrefix + h.cfg.DataCentre + "/"
+		if n := len(h.members.centres); n > 0 {
+			h.members.turn++
+			h.listLeases(LeasePrefix + h.members.centres[h.members.turn%n] + "/")
+		}
+	}
+	h.listLeases(prefix)
+}
+
+func (h *Host) listLeases(prefix string) {
+	h.do(PlatformOp{Kind: OpList, Key: prefix}, func(r *PlatformReply) {
+		if r.Status != OpOK {
+			return
+		}
+		for _, o := range r.Objects {
+			h.seeLease(o)
+		}
+	})
+}
+
+// seeLease takes in the lease of another member.
+func (h *Host) seeLease(o Object) {
+	var l LeaseObject
+	if json.Unmarshal(o.Body, &l) != nil || l.Member == "" || l.Member == h.self {
+		return
+	}
+	p := h.members.peers[l.Member]
+	if p == nil {
+		p = h.members.add(l.Member, l.DataCentre, l.Address)
+	}
+	if o.Version < p.leaseVersion {
+		return // a stale read
+	}
+	p.tail = l.Tail
+	if o.Version > p.leaseVersion {
+		p.leaseVersion, p.seenAt = o.Version, h.now
+	}
+	if l.RevokedBy != "" && !p.revoked {
+		p.revoked = true
+		h.peerGone(p)
+	}
+	// An earlier incarnation of this very host cannot be alive: this process
+	// holds its address.
+	if l.Host == h.cfg.Host && l.Address == h.cfg.Address && !p.revoked {
+		h.revoke(p, o)
+	}
+}
--- /dev/null
+++ b/core/host/ops.go
@@ -0,0 +1,175 @@
+package host
+
+import (
+	"bytes"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pistachioarch/pistachioarch/core/peerpb"
+)
+
+// operations tracks what was asked of the platform.
+type operations struct {
+	next      uint64
+	pending   map[uint64]*pendingOp
+	reachable bool          // the last direct operation was answered
+	probedAt  time.Duration // last direct probe while unreachable
+}
+
+type pendingOp struct {
+	op       PlatformOp
+	deadline time.Duration
+	relay    string // peer it went through, or empty
+	done     func(*PlatformReply)
+}
+
+// putAttempts bounds how often one conditional write is sent.
+const putAttempts = 3
+
+// probeEvery paces the direct probes while the platform is out of reach.
+const probeEvery = 500 * time.Millisecond
+
+// watchTimeout is how long a waiting watch may stay unanswered.
+const watchTimeout = 40 * time.Second
+
+// do sends an operation; done is called once, in a later Step. While the
+// platform is out of reach the operation goes through a peer that reaches it.
+func (h *Host) do(op PlatformOp, done func(*PlatformReply)) {
+	h.ops.next++
+	op.ID = h.ops.next
+	p := &pendingOp{op: op, deadline: h.now + h.cfg.OperationTimeout, done: done}
+	if op.Kind == OpWatch {
+		p.deadline = h.now + watchTimeout
+	}
+	h.ops.pending[op.ID] = p
+	h.stats.PlatformOps++
+	if via := h.relayPeer(op.Kind); via != nil {
+		p.relay = via.name
+		h.send(via.address, &peerpb.Frame{Body: &peerpb.Frame_RelayRequest{RelayRequest: &peerpb.RelayRequest{
+			Op: op.ID, Kind: uint32(op.Kind), Key: op.Key, IfVersion: op.IfVersion, Body: op.Body,
+		}}})
+		return
+	}
+	h.ready.Ops = append(h.ready.Ops, op)
+}
+
+// relayPeer chooses a peer to carry an operation, nil to send it directly.
+func (h *Host) relayPeer(kind OpKind) *peer {
+	if h.ops.reachable || kind == OpWatch || kind == OpList || kind == OpKeys {
+		return nil
+	}
+	for _, p := range h.members.sorted() {
+		if p.dataCentre == h.cfg.DataCentre && p.platformOK && h.hears(p) {
+			return p
+		}
+	}
+	return nil
+}
+
+func (h *Host) opReplied(r *PlatformReply) {
+	p, ok := h.ops.pending[r.ID]
+	if !ok {
+		return
+	}
+	delete(h.ops.pending, r.ID)
+	if p.relay == "" && p.op.Kind != OpWatch {
+		h.setReachable(r.Status != OpUnavailable && r.Status != OpLost)
+	}
+	p.done(r)
+}
+
+func (h *Host) setReachable(ok bool) {
+	if ok == h.ops.reachable {
+		return
+	}
+	h.ops.reachable = ok
+	kind := NotePlatformUp
+	if !ok {
+		kind = NotePlatformDown
+	}
+	h.note(Note{Kind: kind})
+}
+
+// expireOps counts operations without an answer as lost, in order.
+func (h *Host) expireOps() {
+	var late []uint64
+	for id, p := range h.ops.pending {
+		if p.deadline <= h.now {
+			late = append(late, id)
+		}
+	}
+	slices.Sort(late)
+	for _, id := range late {
+		h.opReplied(&PlatformReply{ID: id, Status: OpLost})
+	}
+	if !h.ops.reachable && h.now-h.ops.probedAt >= probeEvery {
+		h.ops.probedAt = h.now
+		h.probe()
+	}
+}
+
+// probe asks the platform directly whether it answers.
+func (h *Host) probe() {
+	h.ops.next++
+	op := PlatformOp{ID: h.ops.next, Kind: OpGet, Key: h.lease.key(h)}
+	h.ops.pending[op.ID] = &pendingOp{op: op, deadline: h.now + h.cfg.OperationTimeout, done: func(*PlatformReply) {}}
+	h.stats.PlatformOps++
+	h.ready.Ops = append(h.ready.Ops, op)
+}
+
+// put writes an object whose body no other writer would write. The status it
+// passes on is OpOK, OpConflict, OpUnavailable, or OpLost when even reading
+// back did not tell. A lost reply is settled by reading back.
+func (h *Host) put(key string, ifVersion uint64, body []byte, done func(OpStatus, uint64)) {
+	h.putAttempt(key, ifVersion, body, 1, done)
+}
+
+func (h *Host) putAttempt(key string, ifVersion uint64, body []byte, attempt int, done func(OpStatus, uint64)) {
+	h.do(PlatformOp{Kind: OpPut, Key: key, IfVersion: ifVersion, Body: body}, func(r *PlatformReply) {
+		switch r.Status {
+		case OpOK, OpUnavailable:
+			done(r.Status, r.Version)
+		default:
+			h.readBack(key, ifVersion, body, attempt, done)
+		}
+	})
+}
+
+func (h *Host) readBack(key string, ifVersion uint64, body []byte, attempt int, done func(OpStatus, uint64)) {
+	h.do(PlatformOp{Kind: OpGet, Key: key}, func(r *PlatformReply) {
+		switch {
+		case r.Status == OpOK && bytes.Equal(r.Body, body):
+			done(OpOK, r.Version)
+		case r.Status == OpOK && r.Version > ifVersion:
+			done(OpConflict, r.Version)
+		case r.Status != OpOK && r.Status != OpNotFound, attempt >= putAttempts:
+			done(OpLost, 0)
+		default: // not in effect, or a stale read: the condition keeps it safe
+			h.putAttempt(key, ifVersion, body, attempt+1, done)
+		}
+	})
+}
+
+// relayRequest carries an operation for a peer that cannot reach the platform.
+func (h *Host) relayRequest(from *peer, m *peerpb.RelayRequest) {
+	reply := func(r *PlatformReply) {
+		h.send(from.address, &peerpb.Frame{Body: &peerpb.Frame_RelayReply{RelayReply: &peerpb.RelayReply{
+			Op: m.Op, Status: uint32(r.Status), Version: r.Version, Body: r.Body,
+		}}})
+	}
+	kind := OpKind(m.Kind)
+	if !h.ops.reachable || kind > OpDelete || strings.HasPrefix(m.Key, "/") {
+		reply(&PlatformReply{Status: OpUnavailable})
+		return
+	}
+	h.do(PlatformOp{Kind: kind, Key: m.Key, IfVersion: m.IfVersion, Body: m.Body}, reply)
+}
+
+func (h *Host) relayReply(m *peerpb.RelayReply) {
+	status := OpStatus(m.Status)
+	if status > OpLost {
+		status = OpLost
+	}
+	h.opReplied(&PlatformReply{ID: m.Op, Status: status, Version: m.Version, Body: m.Body})
+}
--- /dev/null
+++ b/core/host/slots.go
@@ -0,0 +1,412 @@
+package host
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/pistachioarch/pistachioarch/core/ident"
+	"github.com/pistachioarch/pistachioarch/core/peerpb"
+)
+
+// SlotsPrefix is the key prefix of the slot tables, one object per data centre.
+const SlotsPrefix = SharedPrefix + "slots/"
+
+// SlotTable maps the slots of one data centre to their owners, as it stands at
+// the platform.
+type SlotTable struct {
+	DataCentre string `json:"data_centre"`
+	// Writer is unique to each write, so that a write can be recognised when
+	// its reply was lost.
+	Writer string      `json:"writer"`
+	Slots  []SlotEntry `json:"slots"`
+}
+
+// SlotEntry is the ownership of one slot.
+type SlotEntry struct {
+	// Owner is a member, or empty.
+	Owner string `json:"owner"`
+	// Epoch grows by one with each change of owner.
+	Epoch uint64 `json:"epoch"`
+	// Streams are the journal streams that hold records of the slot. The value
+	// is the number of the last segment that does, or 0 for a stream that its
+	// member is still writing to or was writing to when it died.
+	Streams map[string]uint64 `json:"streams,omitempty"`
+}
+
+// assign gives the slot to a member under the next epoch.
+func (e *SlotEntry) assign(member string) {
+	e.Owner = member
+	e.Epoch++
+	if e.Streams == nil {
+		e.Streams = map[string]uint64{}
+	}
+	if _, ok := e.Streams[member]; !ok {
+		e.Streams[member] = 0
+	}
+}
+
+// slotTable is a known version of a SlotTable.
+type slotTable struct {
+	version uint64
+	SlotTable
+}
+
+type slotTables struct {
+	tables  map[string]*slotTable // by data centre
+	mine    map[ident.Slot]*ownedSlot
+	writes  uint64 // for Writer
+	busy    bool   // an update of the own table is under way
+	checkAt time.Duration
+	claimAt time.Duration
+
+	recoveries []*recovery
+	nextSlot   int // where the next program is created
+}
+
+type slotState uint8
+
+const (
+	slotLoading slotState = iota // its programs are being recovered
+	slotServing
+	slotMoving // being handed over: takes no new calls
+)
+
+var slotStates = [...]string{"loading", "serving", "moving"}
+
+// ownedSlot is a slot of which this member is the owner.
+type ownedSlot struct {
+	slot  ident.Slot
+	epoch uint64
+	state slotState
+	// to is the member that gets the slot while it moves.
+	to string
+	// programs are those of the slot.
+	programs map[ident.Program]*program
+	// busy counts its programs with a call under way.
+	busy int
+	// lastLSN is the last record written for the slot.
+	lastLSN uint64
+	// carried is the lsn after which other streams are no longer needed;
+	// 0 until the slot was recovered, noLSN if they must be kept.
+	carried uint64
+}
+
+const noLSN = ^uint64(0)
+
+// slotsEvery paces the look at what could be claimed or handed over.
+const slotsEvery = 200 * time.Millisecond
+
+func (h *Host) tickSlots() {
+	h.tickRecoveries()
+	if h.now < h.slots.checkAt || !h.holdsLease() {
+		return
+	}
+	h.slots.checkAt = h.now + slotsEvery
+	t := h.ownTable()
+	if t == nil || h.slots.busy {
+		return
+	}
+	if !h.claimUnowned(t) && !h.handOver(t) {
+		h.pruneStreams(t)
+	}
+}
+
+func (h *Host) ownTable() *slotTable { return h.slots.tables[h.cfg.DataCentre] }
+
+// createTable makes the table of a new data centre.
+func (h *Host) createTable() {
+	if h.slots.busy || !h.holdsLease() {
+		return
+	}
+	t := &slotTable{SlotTable: SlotTable{DataCentre: h.cfg.DataCentre, Slots: make([]SlotEntry, h.cfg.Slots)}}
+	h.writeTable(t, nil)
+}
+
+// updateTable changes a copy of the own table by conditional update. done may
+// be nil; it is called with whether the change is in force.
+func (h *Host) updateTable(change func(*SlotTable), done func(ok bool)) {
+	old := h.ownTable()
+	next := &slotTable{version: old.version, SlotTable: old.SlotTable}
+	next.Slots = slices.Clone(old.Slots)
+	for i := range next.Slots {
+		next.Slots[i].Streams = maps.Clone(next.Slots[i].Streams)
+	}
+	change(&next.SlotTable)
+	h.writeTable(next, done)
+}
+
+func (h *Host) writeTable(t *slotTable, done func(ok bool)) {
+	h.slots.writes++
+	t.Writer = h.self + "#" + strconv.FormatUint(h.slots.writes, 10)
+	body, _ := json.Marshal(t.SlotTable)
+	key := SlotsPrefix + t.DataCentre
+	h.slots.busy = true
+	h.put(key, t.version, body, func(s OpStatus, version uint64) {
+		h.slots.busy = false
+		if s == OpOK {
+			h.seeTable(Object{Key: key, Version: version, Body: body})
+			h.tellSlotsChanged(version)
+		} else {
+			h.readTable(h.cfg.DataCentre)
+		}
+		if done != nil {
+			done(s == OpOK)
+		}
+	})
+}
+
+func (h *Host) tellSlotsChanged(version uint64) {
+	for _, p := range h.members.list {
+		if h.local(p) && !p.gone {
+			h.send(p.address, &peerpb.Frame{Body: &peerpb.Frame_SlotChanged{SlotChanged: &peerpb.SlotChanged{
+				DataCentre: h.cfg.DataCentre, Version: version,
+			}}})
+		}
+	}
+}
+
+func (h *Host) slotChanged(m *peerpb.SlotChanged) {
+	if t := h.slots.tables[m.DataCentre]; t == nil || t.version < m.Version {
+		h.readTable(m.DataCentre)
+	}
+}
+
+func (h *Host) readTable(dc string) {
+	key := SlotsPrefix + dc
+	h.do(PlatformOp{Kind: OpGet, Key: key}, func(r *PlatformReply) {
+		if r.Status == OpOK {
+			h.seeTable(Object{Key: key, Version: r.Version, Body: r.Body})
+		}
+	})
+}
+
+// seeTable takes in a table unless a newer version is known.
+func (h *Host) seeTable(o Object) {
+	t := &slotTable{version: o.Version}
+	if json.Unmarshal(o.Body, &t.SlotTable) != nil || SlotsPrefix+t.DataCentre != o.Key {
+		return
+	}
+	if old := h.slots.tables[t.DataCentre]; old != nil && old.version >= t.version {
+		return
+	}
+	h.slots.tables[t.DataCentre] = t
+	if t.DataCentre == h.cfg.DataCentre {
+		h.compareOwned(t)
+	}
+}
+
+// compareOwned starts to recover slots that became this member's, and notices
+// when one was taken away, which only happens to a member whose lease was
+// revoked.
+func (h *Host) compareOwned(t *slotTable) {
+	var gained []*ownedSlot
+	for i, e := range t.Slots {
+		slot := ident.Slot{DataCentre: t.DataCentre, Number: i}
+		own := h.slots.mine[slot]
+		switch {
+		case e.Owner == h.self && own == nil:
+			own = &ownedSlot{slot: slot, epoch: e.Epoch, programs: map[ident.Program]*program{}}
+			h.slots.mine[slot] = own
+			gained = append(gained, own)
+		case e.Owner != h.self && own != nil && own.state == slotMoving && own.busy == 0:
+			h.dropSlot(own) // the handover is in force
+		case e.Owner != h.self && own != nil, own != nil && own.epoch != e.Epoch:
+			h.lose("slot " + slot.String() + " has another owner")
+			return
+		}
+	}
+	if len(gained) > 0 {
+		h.recover(t, gained)
+	}
+}
+
+// dropSlot forgets a slot that was handed over.
+func (h *Host) dropSlot(own *ownedSlot) {
+	delete(h.slots.mine, own.slot)
+	for _, p := range own.programs {
+		h.forget(p)
+	}
+}
+
+// aliveLocal counts the members of the data centre that may own slots.
+func (h *Host) aliveLocal() int {
+	n := 0
+	if !h.draining {
+		n++
+	}
+	for _, p := range h.members.list {
+		if h.local(p) && h.hears(p) && !p.draining {
+			n++
+		}
+	}
+	return n
+}
+
+// settleFor is how long a new member waits before it claims more than its
+// share of unowned slots, so that members that start together share them.
+const settleFor = 3 * time.Second
+
+// claimUnowned claims slots without an owner, up to a fair share at first.
+func (h *Host) claimUnowned(t *slotTable) bool {
+	if h.draining {
+		return false
+	}
+	share := (len(t.Slots) + max(1, h.aliveLocal()) - 1) / max(1, h.aliveLocal())
+	if h.slots.claimAt == 0 {
+		h.slots.claimAt = h.now + settleFor
+	}
+	room := share - len(h.slots.mine)
+	if h.now >= h.slots.claimAt {
+		room = len(t.Slots)
+	}
+	return h.claim(t, room, func(e *SlotEntry) bool { return e.Owner == "" })
+}
+
+// claimDead claims the slots of a member whose lease is revoked. Every peer
+// tries; the conditional update lets one win.
+func (h *Host) claimDead(p *peer) {
+	if !h.holdsLease() || h.draining || h.slots.busy || h.now < p.checkAt {
+		return
+	}
+	p.checkAt = h.now + leaseCheckEvery
+	if !h.local(p) {
+		return
+	}
+	t := h.ownTable()
+	if t == nil {
+		return
+	}
+	claimed := h.claim(t, len(t.Slots), func(e *SlotEntry) bool { return e.Owner == p.name })
+	if claimed {
+		h.stats.Takeovers++
+		h.note(Note{Kind: NoteTakeover, Member: p.name, Detail: "slots claimed"})
+	} else if !h.streamNeeded(p.name) {
+		h.removeMember(p)
+	}
+}
+
+func (h *Host) claim(t *slotTable, room int, want func(*SlotEntry) bool) bool {
+	any := false
+	for i := range t.Slots {
+		any = any || want(&t.Slots[i])
+	}
+	if !any || room <= 0 {
+		return false
+	}
+	h.updateTable(func(next *SlotTable) {
+		for i := range next.Slots {
+			e := &next.Slots[i]
+			if room <= 0 || !want(e) {
+				continue
+			}
+			room--
+			if e.Owner != "" {
+				e.Streams[e.Owner] = 0 // to be read to its end, and sealed
+			}
+			e.assign(h.self)
+		}
+	}, nil)
+	return true
+}
+
+func (h *Host) ownsSlots(p *peer) bool {
+	if t := h.slots.tables[p.dataCentre]; t != nil {
+		for _, e := range t.Slots {
+			if e.Owner == p.name {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// streamNeeded reports whether a slot of the own table needs the stream.
+func (h *Host) streamNeeded(stream string) bool {
+	for _, e := range h.ownTable().Slots {
+		if _, ok := e.Streams[stream]; ok {
+			return true
+		}
+	}
+	return false
+}
+
+// removeMember deletes what a dead member left at the platform, once nobody
+// needs it. Its lease goes last, so that the work is found again if this
+// member dies meanwhile.
+func (h *Host) removeMember(p *peer) {
+	h.do(PlatformOp{Kind: OpKeys, Key: journalPrefix(p.name)}, func(r *PlatformReply) {
+		if r.Status != OpOK {
+			return
+		}
+		for _, o := range r.Objects {
+			h.do(PlatformOp{Kind: OpDelete, Key: o.Key}, ignoreReply)
+		}
+		if len(r.Objects) == 0 {
+			h.do(PlatformOp{Kind: OpDelete, Key: LeaseKey(p.dataCentre, p.name)}, ignoreReply)
+			h.members.remove(p)
+		}
+	})
+}
+
+func ignoreReply(*PlatformReply) {}
+
+// pruneStreams takes streams out of the table whose records were all carried
+// forward into this member's own.
+func (h *Host) pruneStreams(t *slotTable) {
+	prune := map[int]bool{}
+	for i, e := range t.Slots {
+		own := h.slots.mine[ident.Slot{DataCentre: t.DataCentre, Number: i}]
+		if own == nil || e.Owner != h.self || len(e.Streams) < 2 || own.state == slotLoading {
+			continue
+		}
+		if own.carried != noLSN && own.carried <= h.log.writer.Durable() {
+			prune[i] = true
+		}
+	}
+	if len(prune) == 0 {
+		return
+	}
+	h.updateTable(func(next *SlotTable) {
+		for i := range prune {
+			next.Slots[i].Streams = map[string]uint64{h.self: 0}
+		}
+	}, nil)
+}
+
+// Owner tells who owns a slot, with the address at which it is reached.
+// self is true for this member, found false when no owner is known.
+func (h *Host) Owner(slot ident.Slot) (address string, self, found bool) {
+	t := h.slots.tables[slot.DataCentre]
+	if t == nil || slot.Number >= len(t.Slots) {
+		return "", false, false
+	}
+	owner := t.Slots[slot.Number].Owner
+	if owner == h.self {
+		return h.cfg.Address, true, true
+	}
+	p := h.members.peers[owner]
+	if p == nil {
+		return "", false, false
+	}
+	return p.address, false, true
+}
+
+// CreateAt returns the address of a peer that can create programs when this
+// host has no slot of its own; empty when there is none.
+func (h *Host) CreateAt() string {
+	if h.draining || len(h.slots.mine) == 0 || !h.mayServe() {
+		for _, p := range h.members.list {
+			if h.local(p) && h.hears(p) && !p.draining && !p.suspended && p.slots > 0 {
+				return p.address
+			}
+		}
+	}
+	return ""
+}
+
+func (h *Host) sortedMine() []*ownedSlot {
+	return slices.SortedFunc(maps.Values(h.slots.mine), func(a, b *ownedSlot) int { return a.slot.Number - b.slot.Number })
+}
--- /dev/null
+++ b/core/host/watchpeer.go
@@ -0,0 +1,87 @@
+package host
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// leaseCheckEvery paces the reads of a suspected member's lease.
+const leaseCheckEvery = 500 * time.Millisecond
+
+// watchPeer follows a silent peer until its lease has lapsed, then revokes the
+// lease. Only a member that itself holds its lease and reaches the platform
+// does so.
+func (h *Host) watchPeer(p *peer) {
+	if p.revoked {
+		h.claimDead(p)
+		return
+	}
+	if h.hears(p) || !p.heard && h.now < h.cfg.SuspectAfter {
+		return
+	}
+	if !p.suspected {
+		p.suspected = true
+		h.sched.SetPeer(p.name, nil)
+		h.note(Note{Kind: NotePeerSuspected, Member: p.name})
+	}
+	if h.now < p.checkAt || !h.holdsLease() || !h.ops.reachable {
+		return
+	}
+	p.checkAt = h.now + leaseCheckEvery
+	if !h.local(p) {
+		p.checkAt = h.now + h.cfg.ConfigPollEvery
+	}
+	h.checkLease(p)
+}
+
+func (h *Host) checkLease(p *peer) {
+	h.do(PlatformOp{Kind: OpGet, Key: LeaseKey(p.dataCentre, p.name)}, func(r *PlatformReply) {
+		switch r.Status {
+		case OpNotFound: // left in good order, and removed its lease
+			h.peerGone(p)
+			if !h.ownsSlots(p) {
+				h.members.remove(p)
+			}
+		case OpOK:
+			o := Object{Key: LeaseKey(p.dataCentre, p.name), Version: r.Version, Body: r.Body}
+			h.seeLease(o)
+			if !p.revoked && h.lapsed(p) {
+				h.revoke(p, o)
+			}
+		}
+	})
+}
+
+// lapsed reports whether the peer's lease has surely lapsed by its own clock.
+func (h *Host) lapsed(p *peer) bool {
+	if h.now < p.promisedUntil || h.hears(p) || !h.holdsLease() {
+		return false
+	}
+	wait := h.cfg.LeaseDuration + h.cfg.ClockMargin
+	if !h.local(p) || !p.heard {
+		// A member of another data centre, or one that does not know of us and
+		// may be serving on the promises of its own peers.
+		wait += h.cfg.DataCentreLease
+	}
+	return h.now >= p.seenAt+wait
+}
+
+// revoke marks a lapsed lease by conditional update, so that its holder can
+// never renew it. Of several members that try, one succeeds.
+func (h *Host) revoke(p *peer, o Object) {
+	var l LeaseObject
+	if json.Unmarshal(o.Body, &l) != nil {
+		return
+	}
+	l.RevokedBy = h.self
+	body, _ := json.Marshal(l)
+	h.put(o.Key, o.Version, body, func(s OpStatus, version uint64) {
+		if s != OpOK {
+			return
+		}
+		p.revoked, p.tail, p.leaseVersion = true, l.Tail, version
+		h.peerGone(p)
+		h.note(Note{Kind: NoteTakeover, Member: p.name, Detail: "lease revoked"})
+		h.claimDead(p)
+	})
+}
--- /dev/null
+++ b/core/journal/journal.go
@@ -0,0 +1,175 @@
+// Package journal holds the segments in which a member's records are kept.
+//
+// A stream is the journal of one member: records numbered by lsn from 1, in
+// segment objects numbered from 1. A segment is created once and never changed,
+// so whoever creates the next number first decides how the stream goes on. A new
+// owner ends a dead member's stream by creating the next segment as a seal.
+package journal
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"strconv"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/core/peerpb"
+)
+
+// Prefix is the key prefix of all journal objects.
+const Prefix = "journal/"
+
+// headerSize is the magic and the CRC-32C of what follows.
+const headerSize = 8
+
+var (
+	magic      = [4]byte{'P', 'J', 'S', '1'}
+	castagnoli = crc32.MakeTable(crc32.Castagnoli)
+)
+
+// StreamPrefix is the key prefix of the segments of a stream.
+func StreamPrefix(stream string) string { return Prefix + stream + "/" }
+
+// Key is the key of one segment. Keys sort as the numbers do.
+func Key(stream string, number uint64) string {
+	return fmt.Sprintf("%s%012d", StreamPrefix(stream), number)
+}
+
+// Number returns the segment number in a key.
+func Number(key string) (uint64, error) {
+	n, err := strconv.ParseUint(key[strings.LastIndexByte(key, '/')+1:], 10, 64)
+	if err != nil {
+		return 0, failure.New(failure.Corrupt, "segment key %q", key)
+	}
+	return n, nil
+}
+
+// Encode gives the content of a segment object.
+func Encode(s *peerpb.Segment) ([]byte, error) {
+	body, err := proto.MarshalOptions{Deterministic: true}.MarshalAppend(make([]byte, headerSize), s)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Internal, "encode segment %d", s.Number)
+	}
+	copy(body, magic[:])
+	binary.BigEndian.PutUint32(body[4:], crc32.Checksum(body[headerSize:], castagnoli))
+	return body, nil
+}
+
+// Decode reads a segment object; a damaged one gives a failure of kind Corrupt.
+func Decode(body []byte) (*peerpb.Segment, error) {
+	if len(body) < headerSize || [4]byte(body[:4]) != magic {
+		return nil, failure.New(failure.Corrupt, "not a journal segment")
+	}
+	if binary.BigEndian.Uint32(body[4:]) != crc32.Checksum(body[headerSize:], castagnoli) {
+		return nil, failure.New(failure.Corrupt, "checksum of a journal segment differs")
+	}
+	s := &peerpb.Segment{}
+	if err := proto.Unmarshal(body[headerSize:], s); err != nil {
+		return nil, failure.New(failure.Corrupt, "journal segment: %v", err)
+	}
+	return s, nil
+}
+
+// Writer is the group-commit writer of one stream. At most one segment is
+// under way; records that come meanwhile wait for the next.
+type Writer struct {
+	stream  string
+	nonce   string
+	max     int
+	lsn     uint64 // last given out
+	durable uint64 // last in a segment at the platform
+	segment uint64 // last segment written
+	pending []*peerpb.Record
+	sizes   []int
+	bytes   int
+	flying  int // records of pending in the segment under way
+	total   int64
+}
+
+// NewWriter returns the writer of an empty stream. nonce is unique to the
+// writer, maxBytes bounds a segment.
+func NewWriter(stream, nonce string, maxBytes int) *Writer {
+	return &Writer{stream: stream, nonce: nonce, max: maxBytes}
+}
+
+// recordOverhead covers the framing of a record in a segment.
+const recordOverhead = 16
+
+// Append gives the record its lsn and keeps it until it is durable.
+func (w *Writer) Append(r *peerpb.Record) uint64 {
+	w.lsn++
+	r.Lsn = w.lsn
+	size := proto.Size(r) + recordOverhead
+	w.pending = append(w.pending, r)
+	w.sizes = append(w.sizes, size)
+	w.bytes += size
+	return w.lsn
+}
+
+// Last is the lsn given out last.
+func (w *Writer) Last() uint64 { return w.lsn }
+
+// Durable is the last lsn that is in a segment at the platform.
+func (w *Writer) Durable() uint64 { return w.durable }
+
+// Segment is the number of the last segment written.
+func (w *Writer) Segment() uint64 { return w.segment }
+
+// Next is the number of the segment that the next record goes to, or a lower
+// bound of it.
+func (w *Writer) Next() uint64 { return w.segment + 1 }
+
+// PendingBytes is the size of what is not yet at the platform.
+func (w *Writer) PendingBytes() int { return w.bytes }
+
+// TotalBytes is the size of all that was written.
+func (w *Writer) TotalBytes() int64 { return w.total }
+
+// Since returns the records after lsn that are not yet at the platform.
+func (w *Writer) Since(lsn uint64) []*peerpb.Record {
+	if lsn <= w.durable {
+		return w.pending
+	}
+	return w.pending[min(uint64(len(w.pending)), lsn-w.durable):]
+}
+
+// Begin starts the next segment with as many records as fit. ok is false when
+// there is nothing to write or a segment is under way.
+func (w *Writer) Begin() (number uint64, body []byte, ok bool) {
+	if w.flying > 0 || len(w.pending) == 0 {
+		return 0, nil, false
+	}
+	size := 0
+	for w.flying < len(w.pending) && (w.flying == 0 || size+w.sizes[w.flying] <= w.max) {
+		size += w.sizes[w.flying]
+		w.flying++
+	}
+	body, err := Encode(&peerpb.Segment{
+		Stream: w.stream, Number: w.Next(), Nonce: w.nonce, Records: w.pending[:w.flying],
+	})
+	if err != nil {
+		w.flying = 0
+		return 0, nil, false
+	}
+	return w.Next(), body, true
+}
+
+// Done ends the segment under way; written says whether it is at the platform.
+func (w *Writer) Done(written bool, size int) {
+	if !written {
+		w.flying = 0
+		return
+	}
+	for _, s := range w.sizes[:w.flying] {
+		w.bytes -= s
+	}
+	w.durable = w.pending[w.flying-1].Lsn
+	w.pending = append([]*peerpb.Record(nil), w.pending[w.flying:]...)
+	w.sizes = append([]int(nil), w.sizes[w.flying:]...)
+	w.segment++
+	w.flying = 0
+	w.total += int64(size)
+}
--- /dev/null
+++ b/core/sched/breaker.go
@@ -0,0 +1,44 @@
+package sched
+
+import "time"
+
+// Limits of the circuit breaker. The breaker opens after breakerThreshold
+// failures in a row, for breakerBase, doubled on each further failure up to
+// breakerMax. Libraries for it read the clock themselves, which core may not.
+const (
+	breakerThreshold = 3
+	breakerBase      = time.Second
+	breakerMax       = 30 * time.Second
+)
+
+// Breaker is a circuit breaker; its zero value is closed.
+type Breaker struct {
+	failures int
+	until    time.Duration
+	trial    bool
+}
+
+// Open reports whether calls must not be sent at now. After the open time one
+// trial call is let through; see Sent.
+func (b *Breaker) Open(now time.Duration) bool {
+	return b.failures >= breakerThreshold && (now < b.until || b.trial)
+}
+
+// Sent notes that a call was sent; on a half-open breaker it is the trial.
+func (b *Breaker) Sent() {
+	b.trial = b.failures >= breakerThreshold
+}
+
+// Success closes the breaker.
+func (b *Breaker) Success() { *b = Breaker{} }
+
+// Failure counts one failure at now.
+func (b *Breaker) Failure(now time.Duration) {
+	b.trial = false
+	b.failures++
+	if b.failures < breakerThreshold {
+		return
+	}
+	open := breakerBase << min(b.failures-breakerThreshold, 10)
+	b.until = now + min(open, breakerMax)
+}
--- /dev/null
+++ b/core/sched/queue.go
@@ -0,0 +1,67 @@
+package sched
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/pistachioarch/pistachioarch/core/decl"
+	"github.com/pistachioarch/pistachioarch/core/ident"
+)
+
+// Item is one call that waits for a target.
+type Item struct {
+	Program   ident.Program
+	Sequence  uint32
+	Service   string
+	Priority  int
+	Objective decl.Objective
+	// Attained is the service the program has had, in tokens.
+	Attained int64
+	// Prompt and History are the new and the earlier tokens of the request,
+	// Output the most that it may produce.
+	Prompt, History, Output int64
+	Arrived                 time.Duration
+	// NotBefore delays a retry.
+	NotBefore time.Duration
+	// Holder is the target that has the program's cache, of HolderTokens.
+	Holder       string
+	HolderTokens int64
+	// Avoid is the target at which the last attempt failed.
+	Avoid string
+
+	key   float64
+	order uint64
+	index int
+}
+
+// queue is a heap of items by key, then by order of arrival.
+type queue []*Item
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	if q[i].key != q[j].key {
+		return q[i].key < q[j].key
+	}
+	return q[i].order < q[j].order
+}
+func (q queue) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].index, q[j].index = i, j
+}
+func (q *queue) Push(x any) {
+	it := x.(*Item)
+	it.index = len(*q)
+	*q = append(*q, it)
+}
+func (q *queue) Pop() any {
+	old := *q
+	it := old[len(old)-1]
+	old[len(old)-1] = nil
+	*q = old[:len(old)-1]
+	it.index = -1
+	return it
+}
+
+func (q *queue) add(it *Item)    { heap.Push(q, it) }
+func (q *queue) take() *Item     { return heap.Pop(q).(*Item) }
+func (q *queue) remove(it *Item) { heap.Remove(q, it.index) }
--- /dev/null
+++ b/core/sched/target.go
@@ -0,0 +1,75 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/pistachioarch/pistachioarch/core/decl"
+)
+
+// Target is what one host knows of a target.
+type Target struct {
+	Decl *decl.Target
+	// InFlight is the number of this host's calls at the target.
+	InFlight int
+	// Held is the estimate of cache tokens kept there for this host's programs.
+	Held int64
+	// PeerInFlight and PeerHeld are the same of all other hosts.
+	PeerInFlight int
+	PeerHeld     int64
+	// Queued is the target's own last report of calls it has not started.
+	Queued   int
+	Breaker  Breaker
+	peers    map[string]PeerLoad
+	mean     time.Duration // moving average of the time of one call
+	meanSeen bool
+}
+
+// PeerLoad is what one peer has under way at a target.
+type PeerLoad struct {
+	InFlight int
+	Held     int64
+}
+
+// Load is the estimated number of calls at the target.
+func (t *Target) Load() int { return t.InFlight + t.PeerInFlight }
+
+// Full reports whether another call would wait inside the target.
+func (t *Target) Full() bool { return t.Load() >= t.Decl.Batch }
+
+// Wait estimates how long a call that arrives now waits for a place.
+func (t *Target) Wait() time.Duration {
+	over := t.Load() - t.Decl.Batch + 1
+	if over <= 0 {
+		return 0
+	}
+	return t.mean * time.Duration(over) / time.Duration(t.Decl.Batch)
+}
+
+// Overflow is by how many tokens the caches would exceed the target's memory
+// if add more tokens came to it.
+func (t *Target) Overflow(add int64) int64 {
+	return max(0, t.Held+t.PeerHeld+add-t.Decl.CacheTokens)
+}
+
+// setPeer replaces what peer has under way.
+func (t *Target) setPeer(peer string, load PeerLoad) {
+	old := t.peers[peer]
+	t.PeerInFlight += load.InFlight - old.InFlight
+	t.PeerHeld += load.Held - old.Held
+	if load == (PeerLoad{}) {
+		delete(t.peers, peer)
+		return
+	}
+	t.peers[peer] = load
+}
+
+// meanWeight is the share of a new sample in the moving average of call times.
+const meanWeight = 0.2
+
+func (t *Target) observe(d time.Duration) {
+	if !t.meanSeen {
+		t.mean, t.meanSeen = d, true
+		return
+	}
+	t.mean += time.Duration(meanWeight * float64(d-t.mean))
+}
