--- a/core/host/dump.go
+++ b/core/host/dump.go
@@ -1,5 +1,7 @@
 package host
 
+import "github.com/pistachioarch/pistachioarch/core/decl"
+
 // Dump is the state of a member for operators. It holds no prompt text.
 type Dump struct {
 	Member        string         `json:"member"`
@@ -177,3 +179,18 @@
 
 // ConfigVersion returns the version of the declaration in force, 0 for none.
 func (h *Host) ConfigVersion() uint64 { return h.declare.version }
+
+// Engines returns the declared targets that keep cache, in order of name.
+func (h *Host) Engines() []*decl.Target {
+	if h.set() == nil {
+		return nil
+	}
+	var all []*decl.Target
+	for _, name := range h.sched.Targets() {
+		t, _ := h.sched.Target(name)
+		if h.set().Services[t.Decl.Service].Kind == decl.Engine {
+			all = append(all, t.Decl)
+		}
+	}
+	return all
+}
--- a/core/host/slots.go
+++ b/core/host/slots.go
@@ -376,22 +376,40 @@
 	}, nil)
 }
 
-// Owner tells who owns a slot, with the address at which it is reached.
-// self is true for this member, found false when no owner is known.
-func (h *Host) Owner(slot ident.Slot) (address string, self, found bool) {
+// Owner tells who owns a slot, with the address at which it is reached. self is
+// true for this member, found false when the slot has no owner that is known
+// now, known false when there is no such slot.
+func (h *Host) Owner(slot ident.Slot) (address string, self, found, known bool) {
 	t := h.slots.tables[slot.DataCentre]
-	if t == nil || slot.Number >= len(t.Slots) {
-		return "", false, false
+	if t == nil {
+		return "", false, false, len(h.slots.tables) == 0 || h.centreKnown(slot.DataCentre)
+	}
+	if slot.Number >= len(t.Slots) {
+		return "", false, false, false
 	}
 	owner := t.Slots[slot.Number].Owner
 	if owner == h.self {
-		return h.cfg.Address, true, true
+		return h.cfg.Address, true, true, true
 	}
 	p := h.members.peers[owner]
 	if p == nil {
-		return "", false, false
+		return "", false, false, true
+	}
+	return p.address, false, true, true
+}
+
+func (h *Host) centreKnown(dc string) bool {
+	for _, p := range h.members.list {
+		if p.dataCentre == dc {
+			return true
+		}
 	}
-	return p.address, false, true
+	return dc == h.cfg.DataCentre
+}
+
+// Healthy reports whether a balancer should send requests to this host.
+func (h *Host) Healthy() bool {
+	return !h.draining && !h.ready.Lost && h.lease.held && h.set() != nil
 }
 
 // CreateAt returns the address of a peer that can create programs when this
--- /dev/null
+++ b/ctl/load/load.go
@@ -0,0 +1,445 @@
+// Package load runs agent programs against entry hosts and checks what they get.
+//
+// It knows what the stand-ins answer: an engine's answer begins with a digest of
+// the conversation it was sent, so that a lost, mixed or reordered history shows
+// at once; a plain service remembers every order it executed.
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/ctl/standin"
+	"github.com/pistachioarch/pistachioarch/wire/api"
+)
+
+// Kind is one sort of agent program.
+type Kind struct {
+	Name      string
+	Caller    string
+	Token     string
+	Service   string
+	Turns     int
+	Words     int // of each question
+	Pause     time.Duration
+	MaxTokens int64
+	Stream    bool
+	// SubAgent starts a sub-agent of so many turns after the first turn.
+	SubAgent int
+	// Order, when set, is the plain service at which the last turn places a
+	// non-idempotent order.
+	Order string
+}
+
+// Plan is what Run does.
+type Plan struct {
+	// Hosts are the callers' addresses of the entry hosts; a balancer would
+	// choose among them, here each request does, at random.
+	Hosts    []string
+	Kinds    []Kind
+	Programs int
+	Parallel int
+	Seed     uint64
+	// Patience bounds how long one call is tried again.
+	Patience time.Duration
+	// Engines and Orders are URLs of stand-ins to check afterwards.
+	Engines, Orders []string
+	Client          *http.Client
+	// Progress is called after each program.
+	Progress func(done int, r ProgramResult)
+}
+
+// ProgramResult is what one program got.
+type ProgramResult struct {
+	Program                          string
+	Kind                             string
+	Calls, Answered, NotRun, Unknown int
+	Took                             time.Duration // without pauses
+	Violations                       []string
+}
+
+// Report is the sum of a run.
+type Report struct {
+	Programs   int      `json:"programs"`
+	Calls      int      `json:"calls"`
+	Answered   int      `json:"answered"`
+	NotRun     int      `json:"not_run"`
+	Unknown    int      `json:"unknown"`
+	Violations []string `json:"violations"`
+	// Times are of whole programs, without tool pauses, in milliseconds.
+	P50MS int64 `json:"program_p50_ms"`
+	P95MS int64 `json:"program_p95_ms"`
+	P99MS int64 `json:"program_p99_ms"`
+}
+
+// Line is the closing line of a run.
+func (r *Report) Line(name string) string {
+	return fmt.Sprintf("%s: programs=%d calls=%d answered=%d not_run=%d unknown=%d violations=%d",
+		name, r.Programs, r.Calls, r.Answered, r.NotRun, r.Unknown, len(r.Violations))
+}
+
+// runner is one Run.
+type runner struct {
+	plan Plan
+	mu   sync.Mutex
+	rng  *rand.Rand
+
+	orders map[string]placed // by order id
+	ended  []string
+}
+
+// placed is an order as its caller knows it.
+type placed struct{ program, outcome string }
+
+// Run carries out the plan. Violations are in the report; the error is of
+// trouble with the run itself.
+func Run(ctx context.Context, plan Plan) (*Report, error) {
+	if len(plan.Hosts) == 0 || len(plan.Kinds) == 0 {
+		return nil, failure.New(failure.Usage, "a load needs hosts and kinds of programs")
+	}
+	r := &runner{plan: plan, rng: rand.New(rand.NewPCG(plan.Seed, plan.Seed)), orders: map[string]placed{}}
+	results := make(chan ProgramResult)
+	next := make(chan int)
+	for range max(1, plan.Parallel) {
+		go func() {
+			for i := range next {
+				results <- r.program(ctx, i, plan.Kinds[i%len(plan.Kinds)])
+			}
+		}()
+	}
+	go func() {
+		for i := range plan.Programs {
+			next <- i
+		}
+		close(next)
+	}()
+	report := &Report{}
+	times := hdrhistogram.New(1, int64(time.Hour/time.Millisecond), 3)
+	for i := range plan.Programs {
+		res := <-results
+		report.add(res)
+		_ = times.RecordValue(max(1, res.Took.Milliseconds())) // in range
+		if plan.Progress != nil {
+			plan.Progress(i+1, res)
+		}
+	}
+	report.P50MS, report.P95MS, report.P99MS = times.ValueAtQuantile(50), times.ValueAtQuantile(95), times.ValueAtQuantile(99)
+	r.checkOrders(ctx, report)
+	r.checkEngines(ctx, report)
+	return report, ctx.Err()
+}
+
+func (r *Report) add(p ProgramResult) {
+	r.Programs++
+	r.Calls += p.Calls
+	r.Answered += p.Answered
+	r.NotRun += p.NotRun
+	r.Unknown += p.Unknown
+	r.Violations = append(r.Violations, p.Violations...)
+}
+
+// conversation is one program from its caller's side.
+type conversation struct {
+	r        *runner
+	kind     Kind
+	id       string
+	sequence uint32
+	messages []api.Message
+	res      *ProgramResult
+}
+
+func (r *runner) program(ctx context.Context, number int, k Kind) ProgramResult {
+	res := ProgramResult{Kind: k.Name}
+	begun := time.Now()
+	paused := time.Duration(0)
+	c, err := r.open(ctx, k, "", fmt.Sprintf("load-%d-%d", r.plan.Seed, number), &res)
+	if err != nil {
+		res.Calls++
+		res.NotRun++
+		return res
+	}
+	res.Program = c.id
+	for turn := range k.Turns {
+		if !c.ask(ctx, fmt.Sprintf("program %d turn %d %s", number, turn, strings.Repeat("word ", k.Words))) {
+			break
+		}
+		if turn == 0 && k.SubAgent > 0 {
+			r.subAgent(ctx, c, number, &res)
+		}
+		time.Sleep(k.Pause)
+		paused += k.Pause
+	}
+	if k.Order != "" {
+		c.order(ctx, number)
+	}
+	res.Took = time.Since(begun) - paused
+	c.end(ctx)
+	return res
+}
+
+func (r *runner) subAgent(ctx context.Context, parent *conversation, number int, res *ProgramResult) {
+	c, err := r.open(ctx, parent.kind, parent.id, fmt.Sprintf("load-%d-%d-sub", r.plan.Seed, number), res)
+	if err != nil {
+		res.Calls++
+		res.NotRun++
+		return
+	}
+	for turn := range parent.kind.SubAgent {
+		if !c.ask(ctx, fmt.Sprintf("sub-agent of %d turn %d", number, turn)) {
+			break
+		}
+	}
+	c.end(ctx)
+}
+
+func (r *runner) open(ctx context.Context, k Kind, parent, key string, res *ProgramResult) (*conversation, error) {
+	var p api.Program
+	err := r.persist(ctx, func(host string) error {
+		var err error
+		p, err = r.client(host, k).Create(ctx, api.CreateProgram{Service: k.Service, Parent: parent, Key: key})
+		return err
+	})
+	return &conversation{r: r, kind: k, id: p.Program, res: res}, err
+}
+
+func (r *runner) client(host string, k Kind) *api.Client {
+	return api.NewClient(r.plan.Client, "http://"+host, k.Token)
+}
+
+// persist tries a request at one host after another until it is answered, it is
+// refused for good, or patience ends. Every request here may be repeated: the
+// system knows it again.
+func (r *runner) persist(ctx context.Context, try func(host string) error) error {
+	limit := time.Now().Add(r.plan.Patience)
+	for {
+		r.mu.Lock()
+		host := r.plan.Hosts[r.rng.IntN(len(r.plan.Hosts))]
+		r.mu.Unlock()
+		err := try(host)
+		if err == nil || final(err) || time.Now().After(limit) || ctx.Err() != nil {
+			return err
+		}
+		time.Sleep(max(20*time.Millisecond, min(failure.From(err).RetryAfter, time.Second)))
+	}
+}
+
+// final reports whether another try would be answered alike.
+func final(err error) bool {
+	f := failure.From(err)
+	switch f.Kind {
+	case failure.PeerUnavailable, failure.DeadlineExceeded:
+		return false // the way broke, not the call
+	}
+	return f.RetryAfter == 0
+}
+
+// ask makes one call of an engine and checks its answer.
+func (c *conversation) ask(ctx context.Context, question string) bool {
+	ask := []api.Message{{Role: "user", Content: question}}
+	raw, _ := json.Marshal(ask) // strings
+	call := api.Call{Sequence: c.sequence, MaxTokens: c.kind.MaxTokens, Messages: raw}
+	a, err := c.send(ctx, call)
+	if !c.count(err) {
+		return false
+	}
+	c.messages = append(c.messages, ask...)
+	want := "digest=" + standin.Digest(c.messages)
+	if !strings.HasPrefix(a.Answer, want) {
+		c.violate("call %d answered %.40q, want %s", c.sequence, a.Answer, want)
+	}
+	if a.Program != c.id || a.Sequence != c.sequence {
+		c.violate("call %d got the answer of %s call %d", c.sequence, a.Program, a.Sequence)
+	}
+	c.messages = append(c.messages, api.Message{Role: "assistant", Content: a.Answer})
+	c.sequence++
+	return true
+}
+
+// send makes a call; a streamed one must stream just what its answer says.
+func (c *conversation) send(ctx context.Context, call api.Call) (api.Answer, error) {
+	var a api.Answer
+	err := c.r.persist(ctx, func(host string) error {
+		client := c.r.client(host, c.kind)
+		var err error
+		if !c.kind.Stream || call.Body != nil {
+			a, err = client.Call(ctx, c.id, call)
+			return err
+		}
+		var text strings.Builder
+		a, err = client.Stream(ctx, c.id, call, func(event, data string) {
+			var chunk api.Chunk
+			if event == api.EventRestart {
+				text.Reset()
+			} else if json.Unmarshal([]byte(data), &chunk) == nil {
+				text.WriteString(chunk.Text)
+			}
+		})
+		if err == nil && text.Len() > 0 && !strings.HasSuffix(a.Answer, text.String()) {
+			c.violate("call %d streamed another text than its answer", call.Sequence)
+		}
+		return err
+	})
+	return a, err
+}
+
+// order places a non-idempotent order as the program's last call.
+func (c *conversation) order(ctx context.Context, number int) {
+	id := fmt.Sprintf("order-%d-%d", c.r.plan.Seed, number)
+	body, _ := json.Marshal(map[string]string{"order": id}) // strings
+	no := false
+	_, err := c.send(ctx, api.Call{Sequence: c.sequence, Service: c.kind.Order, Idempotent: &no, Body: body})
+	outcome := "answered"
+	if !c.count(err) {
+		outcome = string(failure.From(err).Ran)
+	}
+	c.r.mu.Lock()
+	defer c.r.mu.Unlock()
+	c.r.orders[id] = placed{program: c.id, outcome: outcome}
+}
+
+func (c *conversation) count(err error) bool {
+	c.res.Calls++
+	switch {
+	case err == nil:
+		c.res.Answered++
+	case failure.From(err).Ran == failure.RanNo:
+		c.res.NotRun++
+	default:
+		c.res.Unknown++
+	}
+	return err == nil
+}
+
+func (c *conversation) violate(format string, args ...any) {
+	c.res.Violations = append(c.res.Violations, c.id+": "+fmt.Sprintf(format, args...))
+}
+
+func (c *conversation) end(ctx context.Context) {
+	err := c.r.persist(ctx, func(host string) error { return c.r.client(host, c.kind).End(ctx, c.id) })
+	if err != nil {
+		return
+	}
+	c.r.mu.Lock()
+	defer c.r.mu.Unlock()
+	c.r.ended = append(c.r.ended, c.id)
+}
+
+// checkOrders compares what callers were told with what was executed.
+func (r *runner) checkOrders(ctx context.Context, report *Report) {
+	if len(r.plan.Orders) == 0 {
+		return
+	}
+	executed := map[string]int{}
+	for _, url := range r.plan.Orders {
+		var orders []standin.Order
+		if err := r.get(ctx, url+"/v1/orders", &orders); err != nil {
+			report.Violations = append(report.Violations, "orders of "+url+" cannot be read: "+err.Error())
+			return
+		}
+		for _, o := range orders {
+			var body map[string]string
+			if json.Unmarshal(o.Body, &body) == nil {
+				executed[body["order"]]++
+			}
+		}
+	}
+	for id, p := range r.orders {
+		n := executed[id]
+		if n > 1 || p.outcome == "answered" && n == 0 || p.outcome == string(failure.RanNo) && n > 0 {
+			report.Violations = append(report.Violations, fmt.Sprintf("%s: %s was executed %d times, its caller was told %s", p.program, id, n, p.outcome))
+		}
+	}
+	sort.Strings(report.Violations)
+}
+
+// releaseWithin is how long an engine may keep the cache of an ended program
+// after the run.
+const releaseWithin = 10 * time.Second
+
+// checkEngines checks the order in which calls were started, and that no cache
+// is left of programs that have ended.
+func (r *runner) checkEngines(ctx context.Context, report *Report) {
+	if len(r.plan.Engines) == 0 {
+		return
+	}
+	var calls []standin.EngineCall
+	for _, url := range r.plan.Engines {
+		var some []standin.EngineCall
+		if r.get(ctx, url+"/v1/calls", &some) == nil { // one that was killed knows nothing
+			calls = append(calls, some...)
+		}
+	}
+	report.Violations = append(report.Violations, OrderViolations(calls)...)
+	limit := time.Now().Add(releaseWithin)
+	for {
+		left := r.heldCache(ctx)
+		if len(left) == 0 {
+			return
+		}
+		if time.Now().After(limit) {
+			for _, l := range left {
+				report.Violations = append(report.Violations, l+": cache is kept after its end")
+			}
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// OrderViolations finds calls of a program that were started after a later one.
+func OrderViolations(calls []standin.EngineCall) []string {
+	sort.SliceStable(calls, func(i, j int) bool { return calls[i].At.Before(calls[j].At) })
+	last := map[string]int{}
+	var bad []string
+	for _, c := range calls {
+		if c.Sequence < last[c.Program] {
+			bad = append(bad, fmt.Sprintf("%s: call %d was started after call %d", c.Program, c.Sequence, last[c.Program]))
+		}
+		last[c.Program] = max(last[c.Program], c.Sequence)
+	}
+	return bad
+}
+
+func (r *runner) heldCache(ctx context.Context) []string {
+	held := map[string]bool{}
+	for _, url := range r.plan.Engines {
+		var cache struct {
+			Programs []string `json:"programs"`
+		}
+		if r.get(ctx, url+"/v1/cache", &cache) == nil { // one that was killed keeps nothing
+			for _, p := range cache.Programs {
+				held[p] = true
+			}
+		}
+	}
+	var left []string
+	for _, p := range r.ended {
+		if held[p] {
+			left = append(left, p)
+		}
+	}
+	return left
+}
+
+func (r *runner) get(ctx context.Context, url string, out any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return failure.Wrap(err, failure.BadRequest, "%s", url)
+	}
+	resp, err := r.plan.Client.Do(req)
+	if err != nil {
+		return failure.Wrap(err, failure.TargetFailed, "%s", url)
+	}
+	defer func() { _ = resp.Body.Close() }() // decoded
+	return failure.Wrap(json.NewDecoder(resp.Body).Decode(out), failure.TargetFailed, "%s", url)
+}
--- /dev/null
+++ b/daemon/cmd/pistachiod/main.go
@@ -0,0 +1,160 @@
+// Command pistachiod runs one entry host.
+//
+// Exit codes: 0 after a graceful stop, 1 on a failure to run, 2 on wrong
+// settings or a wrong command line.
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/daemon/node"
+	"github.com/pistachioarch/pistachioarch/daemon/settings"
+)
+
+const (
+	exitOK       = 0
+	exitFailure  = 1
+	exitSettings = 2
+)
+
+type options struct {
+	Settings string `long:"settings" value-name:"FILE.ini" required:"true" description:"settings of this host"`
+	Check    bool   `long:"check" description:"check the settings and stop"`
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	var opt options
+	if _, err := flags.NewParser(&opt, flags.Default).ParseArgs(args); err != nil {
+		var help *flags.Error
+		if errors.As(err, &help) && help.Type == flags.ErrHelp {
+			return exitOK
+		}
+		return exitSettings
+	}
+	logger := log.NewWithOptions(os.Stderr, log.Options{Formatter: log.JSONFormatter, ReportTimestamp: true, TimeFormat: time.RFC3339Nano})
+	set, err := settings.Load(opt.Settings)
+	if err != nil {
+		reportFaults(logger, err)
+		return exitSettings
+	}
+	if opt.Check {
+		logger.Info("settings are sound", "file", opt.Settings)
+		return exitOK
+	}
+	if level, err := log.ParseLevel(set.LogLevel); err == nil {
+		logger.SetLevel(level)
+	}
+	if err := serve(set, logger); err != nil {
+		logger.Error("cannot run", "type", string(failure.From(err).Kind), "error", err.Error())
+		return exitFailure
+	}
+	return exitOK
+}
+
+func reportFaults(logger *log.Logger, err error) {
+	var faults settings.Faults
+	if !errors.As(err, &faults) {
+		logger.Error("settings", "error", err.Error())
+		return
+	}
+	for _, f := range faults {
+		logger.Error("wrong setting", "section", f.Section, "key", f.Key, "reason", f.Reason)
+	}
+}
+
+// serve runs the host until it was told to stop and has stopped.
+func serve(set *settings.Settings, logger *log.Logger) error {
+	opt := node.Options{Settings: set, Log: logger, Dialer: &net.Dialer{Timeout: 2 * time.Second}}
+	var err error
+	if opt.PeerTLS, err = peerTLS(set); err != nil {
+		return err
+	}
+	for _, l := range []struct {
+		into    *net.Listener
+		address string
+	}{{&opt.Callers, set.CallerListen}, {&opt.Operators, set.OperatorListen}, {&opt.Peers, set.PeerListen}} {
+		if *l.into, err = net.Listen("tcp", l.address); err != nil {
+			return failure.Wrap(err, failure.InvalidSetting, "listen on %s", l.address)
+		}
+	}
+	n, err := node.New(opt)
+	if err != nil {
+		return err
+	}
+	stop := make(chan os.Signal, 4)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	n.Run()
+	ended := make(chan error, 1)
+	draining := false
+	drain := func() {
+		draining = true
+		go func() { ended <- n.Drain(context.Background()) }()
+	}
+	drained := n.Drained()
+	for {
+		select {
+		case err := <-ended:
+			return err
+		case <-drained:
+			drained = nil
+			if !draining {
+				drain()
+			}
+		case s := <-stop:
+			if s == syscall.SIGUSR1 {
+				dump(n, logger)
+				continue
+			}
+			if draining {
+				logger.Warn("still stopping; requests are under way", "status", n.Status())
+				continue
+			}
+			drain()
+		}
+	}
+}
+
+// dump writes the state as one JSON line to standard output.
+func dump(n *node.Node, logger *log.Logger) {
+	if err := json.NewEncoder(os.Stdout).Encode(n.Dump()); err != nil {
+		logger.Error("dump", "error", err.Error())
+	}
+}
+
+// peerTLS makes the mutual TLS of connections between hosts.
+func peerTLS(set *settings.Settings) (*tls.Config, error) {
+	if set.PeerCert == "" {
+		return nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(set.PeerCert, set.PeerKey)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.InvalidSetting, "peers.tls_cert")
+	}
+	ca, err := os.ReadFile(set.PeerCA)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.InvalidSetting, "peers.tls_ca")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(ca) {
+		return nil, failure.New(failure.InvalidSetting, "peers.tls_ca holds no certificate")
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{cert}, RootCAs: pool, ClientCAs: pool,
+		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
+	}, nil
+}
--- /dev/null
+++ b/daemon/node/callers.go
@@ -0,0 +1,303 @@
+package node
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/core/host"
+	"github.com/pistachioarch/pistachioarch/core/ident"
+	"github.com/pistachioarch/pistachioarch/core/peerpb"
+	"github.com/pistachioarch/pistachioarch/wire/api"
+)
+
+// Limits on callers' requests.
+const (
+	readHeaderTimeout = 10 * time.Second
+	readBodyTimeout   = 30 * time.Second
+	maxHeaderBytes    = 64 << 10
+	defaultMaxTokens  = 1024
+	maxKeyBytes       = 256
+)
+
+// serveHTTP serves a listener until the host ends.
+func (n *Node) serveHTTP(l net.Listener, h http.Handler) {
+	s := &http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+		BaseContext: func(net.Listener) context.Context { return n.ctx },
+	}
+	n.goDo(func() { _ = s.Serve(l) }) // ends with the listener
+	n.goDo(func() {
+		<-n.ctx.Done()
+		_ = s.Close() // the host has answered what it would
+	})
+}
+
+func (n *Node) callerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/programs", n.counted(n.createProgram))
+	mux.HandleFunc("POST /v1/programs/{id}/calls", n.counted(n.call))
+	mux.HandleFunc("GET /v1/programs/{id}/calls/{n}", n.counted(n.fetch))
+	mux.HandleFunc("DELETE /v1/programs/{id}", n.counted(n.end))
+	mux.HandleFunc("GET /healthz", n.health)
+	return mux
+}
+
+// callerRequest is an authenticated request.
+type callerRequest struct {
+	w      http.ResponseWriter
+	r      *http.Request
+	caller string
+	budget int64
+}
+
+// counted authenticates a caller and counts the request as under way.
+func (n *Node) counted(serve func(*callerRequest) *failure.Failure) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		n.requests.add(1)
+		defer n.requests.add(-1)
+		begun := time.Now()
+		n.mu.Lock()
+		caller, budget, ok := n.host.Caller(bearerDigest(r))
+		n.mu.Unlock()
+		f := failure.New(failure.Unauthorized, "no caller has this token")
+		if ok {
+			f = serve(&callerRequest{w: w, r: r, caller: caller, budget: budget})
+		}
+		n.timer("requests").UpdateSince(begun)
+		if f != nil {
+			n.counter("requests.failed." + string(f.Kind)).Inc(1)
+			writeFailure(w, f)
+		}
+	}
+}
+
+func bearerDigest(r *http.Request) string {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return ""
+	}
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+func writeFailure(w http.ResponseWriter, f *failure.Failure) {
+	if f.RetryAfter > 0 {
+		seconds := (f.RetryAfter + time.Second - 1) / time.Second
+		w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+	}
+	writeJSON(w, api.Status(f.Kind), api.ErrorOf(f))
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // a caller that has gone away
+}
+
+// readBody decodes a JSON body of bounded size.
+func (n *Node) readBody(c *callerRequest, v any) *failure.Failure {
+	_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(readBodyTimeout)) // not every writer has one
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, n.set.MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return failure.New(failure.TooLarge, "a body has at most %d bytes", tooLarge.Limit)
+	case err != nil:
+		return failure.New(failure.BadRequest, "body: %v", err)
+	}
+	_ = http.NewResponseController(c.w).SetReadDeadline(time.Time{}) // as above
+	d := json.NewDecoder(strings.NewReader(string(body)))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return failure.New(failure.BadRequest, "body: %v", err)
+	}
+	if d.More() {
+		return failure.New(failure.BadRequest, "body: more than one JSON value")
+	}
+	return nil
+}
+
+func (n *Node) createProgram(c *callerRequest) *failure.Failure {
+	var body api.CreateProgram
+	if f := n.readBody(c, &body); f != nil {
+		return f
+	}
+	budget := c.budget
+	if body.Budget != nil {
+		budget = min(*body.Budget, c.budget)
+	}
+	switch {
+	case body.DeadlineMS < 0:
+		return failure.New(failure.BadRequest, "deadline_ms is negative")
+	case len(body.Key) > maxKeyBytes:
+		return failure.New(failure.TooLarge, "a key has at most %d bytes", maxKeyBytes)
+	}
+	out := n.route(c.r.Context(), &request{
+		program: ident.Program(body.Parent),
+		forward: &peerpb.Forward{Body: &peerpb.Forward_Create{Create: &peerpb.CreateRequest{
+			Caller: c.caller, Service: body.Service, Parent: body.Parent, BudgetTokens: budget, DeadlineMs: body.DeadlineMS, Key: body.Key,
+		}}},
+	})
+	if out.Failure != nil {
+		return out.Failure
+	}
+	writeJSON(c.w, http.StatusCreated, api.Program{Program: string(out.Program)})
+	return nil
+}
+
+func (n *Node) call(c *callerRequest) *failure.Failure {
+	var body api.Call
+	if f := n.readBody(c, &body); f != nil {
+		return f
+	}
+	m, f := callRequest(c, &body)
+	if f != nil {
+		return f
+	}
+	rq := &request{
+		program: ident.Program(m.Program), stream: body.Stream,
+		forward: &peerpb.Forward{Body: &peerpb.Forward_Call{Call: m}},
+	}
+	if body.Stream {
+		return n.streamCall(c, rq, body.Sequence)
+	}
+	return n.answer(c, n.route(c.r.Context(), rq), body.Sequence)
+}
+
+// callRequest checks a call's body.
+func callRequest(c *callerRequest, body *api.Call) (*peerpb.CallRequest, *failure.Failure) {
+	m := &peerpb.CallRequest{
+		Caller: c.caller, Program: c.r.PathValue("id"), Sequence: body.Sequence, Service: body.Service,
+		Idempotent: body.Idempotent == nil || *body.Idempotent, Stream: body.Stream,
+		MaxTokens: body.MaxTokens, DeadlineMs: body.DeadlineMS, Prompt: body.Messages,
+	}
+	switch {
+	case body.DeadlineMS < 0 || body.MaxTokens < 0:
+		return nil, failure.New(failure.BadRequest, "deadline_ms and max_tokens must not be negative")
+	case (len(body.Messages) == 0) == (len(body.Body) == 0):
+		return nil, failure.New(failure.BadRequest, "a call has either messages, for an engine, or a body, for a plain service")
+	case len(body.Body) > 0:
+		m.Prompt = body.Body
+		return m, nil
+	}
+	var messages []api.Message
+	if err := json.Unmarshal(body.Messages, &messages); err != nil || len(messages) == 0 {
+		return nil, failure.New(failure.BadRequest, "messages must be a list of role and content")
+	}
+	if m.MaxTokens == 0 {
+		m.MaxTokens = defaultMaxTokens
+	}
+	// A token is at least one byte, so the bytes bound the tokens.
+	m.PromptTokens = int64(len(body.Messages))
+	return m, nil
+}
+
+func (n *Node) fetch(c *callerRequest) *failure.Failure {
+	seq, err := strconv.ParseUint(c.r.PathValue("n"), 10, 32)
+	if err != nil {
+		return failure.New(failure.BadRequest, "%q is not a sequence number", c.r.PathValue("n"))
+	}
+	out := n.route(c.r.Context(), &request{
+		program: ident.Program(c.r.PathValue("id")),
+		forward: &peerpb.Forward{Body: &peerpb.Forward_Fetch{Fetch: &peerpb.FetchRequest{
+			Caller: c.caller, Program: c.r.PathValue("id"), Sequence: uint32(seq),
+		}}},
+	})
+	return n.answer(c, out, uint32(seq))
+}
+
+func (n *Node) end(c *callerRequest) *failure.Failure {
+	out := n.route(c.r.Context(), &request{
+		program: ident.Program(c.r.PathValue("id")),
+		forward: &peerpb.Forward{Body: &peerpb.Forward_End{End: &peerpb.EndRequest{Caller: c.caller, Program: c.r.PathValue("id")}}},
+	})
+	if out.Failure != nil {
+		return out.Failure
+	}
+	c.w.WriteHeader(http.StatusNoContent)
+	return nil
+}
+
+func answerOf(out host.Outcome, sequence uint32) api.Answer {
+	return api.Answer{
+		Program: string(out.Program), Sequence: sequence, Answer: string(out.Answer), Target: out.Target,
+		Usage: api.Usage{PromptTokens: out.Usage.Prompt, OutputTokens: out.Usage.Output, CachedTokens: out.Usage.Cached},
+	}
+}
+
+func (n *Node) answer(c *callerRequest, out host.Outcome, sequence uint32) *failure.Failure {
+	if out.Failure != nil {
+		return out.Failure
+	}
+	_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now().Add(n.set.ClientWriteTimeout)) // not every writer has one
+	writeJSON(c.w, http.StatusOK, answerOf(out, sequence))
+	return nil
+}
+
+// streamCall answers with server-sent events. Pieces are provisional: only the
+// final event is durable.
+func (n *Node) streamCall(c *callerRequest, rq *request, sequence uint32) *failure.Failure {
+	ctx, cancel := context.WithCancel(c.r.Context())
+	defer cancel()
+	s := &eventStream{w: c.w, control: http.NewResponseController(c.w), timeout: n.set.ClientWriteTimeout, broken: cancel}
+	rq.onEvent = func(ev streamEvent) {
+		if ev.restart {
+			s.write(api.EventRestart, struct{}{})
+			return
+		}
+		s.write(api.EventChunk, api.Chunk{Text: ev.text})
+	}
+	out := n.route(ctx, rq)
+	switch {
+	case out.Failure != nil && !s.begun:
+		return out.Failure
+	case out.Failure != nil:
+		s.write(api.EventError, api.ErrorOf(out.Failure))
+	default:
+		s.write(api.EventAnswer, answerOf(out, sequence))
+	}
+	return nil
+}
+
+// eventStream writes server-sent events to one caller. A caller that does not
+// read is given up after timeout.
+type eventStream struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	timeout time.Duration
+	begun   bool
+	failed  bool
+	broken  func()
+}
+
+func (s *eventStream) write(event string, v any) {
+	if s.failed {
+		return
+	}
+	if !s.begun {
+		s.begun = true
+		s.w.Header().Set("Content-Type", "text/event-stream")
+		s.w.Header().Set("Cache-Control", "no-store")
+		s.w.WriteHeader(http.StatusOK)
+	}
+	data, _ := json.Marshal(v)                                // plain structs
+	_ = s.control.SetWriteDeadline(time.Now().Add(s.timeout)) // not every writer has one
+	_, err := io.WriteString(s.w, "event: "+event+"\ndata: "+string(data)+"\n\n")
+	if err == nil {
+		err = s.control.Flush()
+	}
+	if err != nil {
+		s.failed = true
+		s.broken()
+	}
+}
--- /dev/null
+++ b/daemon/settings/settings.go
@@ -0,0 +1,300 @@
+// Package settings reads and checks the INI settings of pistachiod.
+package settings
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+
+	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/core/host"
+	"github.com/pistachioarch/pistachioarch/core/sched"
+)
+
+// Settings is the content of a settings file.
+type Settings struct {
+	// Host is what the decision machine is told; Incarnation and Address are
+	// filled in at start.
+	Host host.Config
+
+	CallerListen, OperatorListen, PeerListen string
+	// PeerAdvertise is the address told to peers; empty takes the listener's.
+	PeerAdvertise string
+	Seeds         []string
+
+	PlatformURL, PlatformToken string
+	OperatorTokenSHA256        string
+
+	// TLS for connections between hosts; all three or none.
+	PeerCert, PeerKey, PeerCA string
+
+	DataFolder string
+	LogLevel   string
+
+	MaxBodyBytes       int64
+	ClientWriteTimeout time.Duration
+	ForwardPatience    time.Duration
+	ReportEvery        time.Duration
+	SweepEvery         time.Duration
+}
+
+// Fault is one wrong setting.
+type Fault struct {
+	Section string `json:"section"`
+	Key     string `json:"key"`
+	Reason  string `json:"reason"`
+}
+
+// Faults is every wrong setting of a file, as an error.
+type Faults []Fault
+
+// Error implements error.
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i, x := range f {
+		lines[i] = fmt.Sprintf("[%s] %s: %s", x.Section, x.Key, x.Reason)
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Load reads and checks a settings file. The error is Faults, or a Failure if
+// the file cannot be read.
+func Load(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.InvalidSetting, "settings file")
+	}
+	return Parse(text)
+}
+
+// Parse checks the text of a settings file.
+func Parse(text []byte) (*Settings, error) {
+	f, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, text)
+	if err != nil {
+		return nil, Faults{{Section: "", Key: "", Reason: "not INI: " + err.Error()}}
+	}
+	r := &reader{file: f, used: map[string]bool{}}
+	s := r.read()
+	r.checkUnknown()
+	if len(r.faults) > 0 {
+		return nil, r.faults
+	}
+	return s, nil
+}
+
+// reader collects faults while it reads the keys.
+type reader struct {
+	file   *ini.File
+	used   map[string]bool
+	faults Faults
+}
+
+func (r *reader) read() *Settings {
+	s := &Settings{Host: host.DefaultConfig()}
+	h := &s.Host
+	h.Host = r.name("host", "name", true)
+	h.DataCentre = r.name("host", "data_centre", true)
+	s.DataFolder = r.text("host", "data_folder", "")
+	h.HasDisk = s.DataFolder != ""
+	s.CallerListen = r.address("listen", "callers", "127.0.0.1:0")
+	s.OperatorListen = r.address("listen", "operators", "127.0.0.1:0")
+	s.PeerListen = r.address("listen", "peers", "127.0.0.1:0")
+	s.PeerAdvertise = r.address("listen", "advertise", "")
+	s.PlatformURL = r.url("platform", "url")
+	s.PlatformToken = r.text("platform", "token", "")
+	s.OperatorTokenSHA256 = r.digest("operators", "token_sha256")
+	s.Seeds = r.addresses("peers", "seeds")
+	r.tls(s)
+	r.timing(h)
+	r.limits(s)
+	s.LogLevel = r.oneOf("log", "level", "info", "debug", "warn", "error")
+	h.Policy = r.oneOf("scheduling", "policy", sched.Policies()[0], sched.Policies()[1:]...)
+	h.Slots = int(r.integer("scheduling", "slots", int64(h.Slots), 1, 4096))
+	return s
+}
+
+func (r *reader) tls(s *Settings) {
+	s.PeerCert = r.path("peers", "tls_cert")
+	s.PeerKey = r.path("peers", "tls_key")
+	s.PeerCA = r.path("peers", "tls_ca")
+	given := 0
+	for _, f := range []string{s.PeerCert, s.PeerKey, s.PeerCA} {
+		if f != "" {
+			given++
+		}
+	}
+	if given != 0 && given != 3 {
+		r.fault("peers", "tls_cert", "tls_cert, tls_key and tls_ca go together")
+	}
+}
+
+func (r *reader) timing(h *host.Config) {
+	h.LeaseDuration = r.duration("timing", "lease", h.LeaseDuration, 500*time.Millisecond)
+	h.RenewEvery = r.duration("timing", "renew", h.RenewEvery, 50*time.Millisecond)
+	h.ClockMargin = r.duration("timing", "clock_margin", h.ClockMargin, time.Millisecond)
+	h.DataCentreLease = r.duration("timing", "data_centre_lease", h.DataCentreLease, time.Second)
+	h.HeartbeatEvery = r.duration("timing", "heartbeat", h.HeartbeatEvery, 10*time.Millisecond)
+	h.SuspectAfter = r.duration("timing", "suspect", h.SuspectAfter, 50*time.Millisecond)
+	h.PromiseFor = r.duration("timing", "promise", h.PromiseFor, 100*time.Millisecond)
+	h.FlushEvery = r.duration("timing", "journal_flush", h.FlushEvery, 10*time.Millisecond)
+	h.ConfigPollEvery = r.duration("timing", "config_poll", h.ConfigPollEvery, 100*time.Millisecond)
+	h.Retention = r.duration("timing", "retention", h.Retention, time.Second)
+	if h.RenewEvery*2 > h.LeaseDuration {
+		r.fault("timing", "renew", "a lease must be renewed at least twice in its duration")
+	}
+	if h.DataCentreLease < 2*h.LeaseDuration {
+		r.fault("timing", "data_centre_lease", "must be at least two leases long")
+	}
+	if h.SuspectAfter < 2*h.HeartbeatEvery {
+		r.fault("timing", "suspect", "must be at least two heartbeats long")
+	}
+}
+
+func (r *reader) limits(s *Settings) {
+	s.MaxBodyBytes = r.integer("limits", "body_bytes", 4<<20, 1024, 1<<30)
+	s.Host.MaxPrograms = int(r.integer("limits", "programs", int64(s.Host.MaxPrograms), 1, 1<<24))
+	s.Host.MaxTailBytes = int(r.integer("limits", "tail_bytes", int64(s.Host.MaxTailBytes), 1<<16, 1<<30))
+	s.ClientWriteTimeout = r.duration("limits", "client_write", 10*time.Second, time.Millisecond)
+	s.ForwardPatience = r.duration("limits", "forward_patience", 20*time.Second, time.Millisecond)
+	s.ReportEvery = r.duration("limits", "report_every", time.Second, 10*time.Millisecond)
+	s.SweepEvery = r.duration("limits", "sweep_every", 30*time.Second, 10*time.Millisecond)
+}
+
+func (r *reader) fault(section, key, format string, args ...any) {
+	r.faults = append(r.faults, Fault{Section: section, Key: key, Reason: fmt.Sprintf(format, args...)})
+}
+
+func (r *reader) text(section, key, def string) string {
+	r.used[section+"\x00"+key] = true
+	s, err := r.file.GetSection(section)
+	if err != nil || !s.HasKey(key) {
+		return def
+	}
+	return strings.TrimSpace(s.Key(key).Value())
+}
+
+func (r *reader) name(section, key string, required bool) string {
+	v := r.text(section, key, "")
+	if v == "" && required {
+		r.fault(section, key, "is missing")
+	}
+	if strings.ContainsAny(v, "./ \t\"") {
+		r.fault(section, key, "%q must not hold dots, slashes, spaces or quotes", v)
+	}
+	return v
+}
+
+func (r *reader) address(section, key, def string) string {
+	v := r.text(section, key, def)
+	if v == "" {
+		return v
+	}
+	r.checkAddress(section, key, v)
+	return v
+}
+
+func (r *reader) checkAddress(section, key, v string) {
+	ip, _, err := net.SplitHostPort(v)
+	if err != nil {
+		r.fault(section, key, "%q is not IP:port", v)
+		return
+	}
+	if net.ParseIP(ip) == nil {
+		r.fault(section, key, "%q is not an IP number", ip)
+	}
+}
+
+func (r *reader) addresses(section, key string) []string {
+	var all []string
+	for a := range strings.SplitSeq(r.text(section, key, ""), ",") {
+		if a = strings.TrimSpace(a); a != "" {
+			r.checkAddress(section, key, a)
+			all = append(all, a)
+		}
+	}
+	return all
+}
+
+func (r *reader) url(section, key string) string {
+	v := r.text(section, key, "")
+	if v == "" {
+		r.fault(section, key, "is missing")
+		return v
+	}
+	if u, err := url.Parse(v); err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+		r.fault(section, key, "%q is not an http or https URL", v)
+	}
+	return v
+}
+
+func (r *reader) digest(section, key string) string {
+	v := strings.ToLower(r.text(section, key, ""))
+	if len(v) != 64 || strings.Trim(v, "0123456789abcdef") != "" {
+		r.fault(section, key, "must be the 64 hex digits of a SHA-256")
+	}
+	return v
+}
+
+// path reads the path of a file that must exist.
+func (r *reader) path(section, key string) string {
+	v := r.text(section, key, "")
+	if v == "" {
+		return v
+	}
+	if _, err := os.Stat(v); err != nil {
+		r.fault(section, key, "cannot be read: %v", err)
+	}
+	return v
+}
+
+func (r *reader) oneOf(section, key, first string, others ...string) string {
+	v := r.text(section, key, first)
+	if v != first && !slices.Contains(others, v) {
+		r.fault(section, key, "must be %s or %s, not %q", first, strings.Join(others, ", "), v)
+	}
+	return v
+}
+
+func (r *reader) integer(section, key string, def, least, most int64) int64 {
+	v := r.text(section, key, "")
+	if v == "" {
+		return def
+	}
+	n, err := strconv.ParseInt(v, 10, 64)
+	if err != nil || n < least || n > most {
+		r.fault(section, key, "must be a whole number from %d to %d, not %q", least, most, v)
+	}
+	return n
+}
+
+func (r *reader) duration(section, key string, def, least time.Duration) time.Duration {
+	v := r.text(section, key, "")
+	if v == "" {
+		return def
+	}
+	d, err := time.ParseDuration(v)
+	if err != nil || d < least || d > 24*time.Hour {
+		r.fault(section, key, "must be a duration from %s to 24h, not %q", least, v)
+		return def
+	}
+	return d
+}
+
+// checkUnknown reports keys that no setting reads, so that a slip of the pen
+// is not a silent default.
+func (r *reader) checkUnknown() {
+	for _, s := range r.file.Sections() {
+		for _, k := range s.Keys() {
+			if !r.used[s.Name()+"\x00"+k.Name()] {
+				r.fault(s.Name(), k.Name(), "unknown setting")
+			}
+		}
+	}
+}
--- /dev/null
+++ b/wire/frame/frame.go
@@ -0,0 +1,66 @@
+// Package frame reads and writes the messages between hosts: a four-byte
+// big-endian length, then a protobuf message.
+package frame
+
+import (
+	"encoding/binary"
+	"io"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pistachioarch/pistachioarch/core/failure"
+)
+
+// MaxBytes bounds one message. A longer one is refused before it is read.
+const MaxBytes = 16 << 20
+
+const headerBytes = 4
+
+// The first byte of a stream tells what it carries.
+const (
+	// StreamFrames carries peerpb.Frame messages in one direction.
+	StreamFrames byte = 'F'
+	// StreamRequest carries one peerpb.Forward and its replies.
+	StreamRequest byte = 'R'
+)
+
+// Write sends one message in a single write.
+func Write(w io.Writer, m proto.Message) error {
+	buf, err := proto.MarshalOptions{}.MarshalAppend(make([]byte, headerBytes, headerBytes+256), m)
+	if err != nil {
+		return failure.Wrap(err, failure.Internal, "encode frame")
+	}
+	size := len(buf) - headerBytes
+	if size > MaxBytes {
+		return failure.New(failure.TooLarge, "frame of %d bytes", size)
+	}
+	binary.BigEndian.PutUint32(buf, uint32(size))
+	if _, err := w.Write(buf); err != nil {
+		return failure.Wrap(err, failure.PeerUnavailable, "write frame")
+	}
+	return nil
+}
+
+// Read receives one message into m. io.EOF between messages is returned as it
+// is; anything else is a Failure.
+func Read(r io.Reader, m proto.Message) error {
+	var header [headerBytes]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		if err == io.EOF {
+			return io.EOF
+		}
+		return failure.Wrap(err, failure.PeerUnavailable, "read frame header")
+	}
+	size := binary.BigEndian.Uint32(header[:])
+	if size > MaxBytes {
+		return failure.New(failure.TooLarge, "frame of %d bytes", size)
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return failure.Wrap(err, failure.PeerUnavailable, "read frame")
+	}
+	if err := proto.Unmarshal(body, m); err != nil {
+		return failure.Wrap(err, failure.BadRequest, "decode frame")
+	}
+	return nil
+}
