node: void what was streamed when another owner answers

Cause: an entry host passed on the pieces of a second owner after those of the first, without a restart event. Ruled out: the owners (each streams a whole answer), the client's check. Also: a send that comes too late for its lease is not sent (Send.NotAfter), and a graceful stop ends idle connections only after every request was answered.

--- a/core/host/call.go
+++ b/core/host/call.go
@@ -462,6 +462,7 @@
 	send := Send{
 		Call: f.call(), Target: t.Decl, Kind: svc.Kind, Slot: f.p.slot.slot, Epoch: f.p.slot.epoch,
 		Prompt: f.accepted.Prompt, MaxTokens: f.accepted.MaxTokens, Priority: f.then.Priority, Timeout: f.until - h.now,
+		NotAfter: h.servesUntil(),
 	}
 	if svc.Kind == decl.Engine {
 		send.History = f.p.past()
--- a/core/host/lease.go
+++ b/core/host/lease.go
@@ -128,29 +128,32 @@
 func (h *Host) holdsLease() bool { return h.lease.held && h.now < h.lease.until }
 
 // mayServe reports whether no other member can own this member's slots now.
+func (h *Host) mayServe() bool { return h.now < h.servesUntil() }
+
+// servesUntil is until when, from what is known now, no other member can own
+// this member's slots.
 //
-// It holds under the lease. Past the lease it holds while every peer of the
+// That holds under the lease. Past the lease it holds while every peer of the
 // data centre has promised not to take over: either for DataCentreLease since
 // the last renewal, which other data centres wait out, or without end if the
 // members of all other data centres have promised too. A peer that is gone
 // (said goodbye, or its process is dead) needs no promise. Two hosts, one dead
-// and the other cut off, cannot be told from a split; then this is false.
-func (h *Host) mayServe() bool {
+// and the other cut off, cannot be told from a split; then it does not hold.
+func (h *Host) servesUntil() time.Duration {
 	if h.ready.Lost || !h.lease.held {
-		return false
-	}
-	if h.now < h.lease.until {
-		return true
+		return 0
 	}
-	everywhere := true
+	const forever = time.Duration(1<<63 - 1)
+	local, remote := forever, forever
 	for _, p := range h.members.list {
-		if p.gone || h.now < p.promiseUntil {
-			continue
-		}
-		if p.dataCentre == h.cfg.DataCentre {
-			return false
+		switch {
+		case p.gone:
+		case h.local(p):
+			local = min(local, p.promiseUntil)
+		default:
+			remote = min(remote, p.promiseUntil)
 		}
-		everywhere = false
 	}
-	return everywhere || h.now < h.lease.renewed+h.cfg.DataCentreLease-h.cfg.ClockMargin
+	centre := h.lease.renewed + h.cfg.DataCentreLease - h.cfg.ClockMargin
+	return max(h.lease.until, min(local, max(centre, remote)))
 }
--- a/core/host/ready.go
+++ b/core/host/ready.go
@@ -54,6 +54,10 @@
 	MaxTokens int64
 	Priority  int
 	Timeout   time.Duration
+	// NotAfter is when, unless more is learned, this member may no longer send
+	// for the slot. A driver that comes to send later, as after a pause of its
+	// process, must not, and reports TargetRefused.
+	NotAfter time.Duration
 }
 
 // ID is the call id that goes to the target and comes back with the answer.
--- a/ctl/load/load.go
+++ b/ctl/load/load.go
@@ -64,8 +64,10 @@
 	Program                          string
 	Kind                             string
 	Calls, Answered, NotRun, Unknown int
-	Took                             time.Duration // without pauses
-	Violations                       []string
+	// Cut counts requests whose connection broke before they were answered.
+	Cut        int
+	Took       time.Duration // without pauses
+	Violations []string
 }
 
 // Report is the sum of a run.
@@ -75,6 +77,7 @@
 	Answered   int      `json:"answered"`
 	NotRun     int      `json:"not_run"`
 	Unknown    int      `json:"unknown"`
+	Cut        int      `json:"cut"`
 	Violations []string `json:"violations"`
 	// Times are of whole programs, without tool pauses, in milliseconds.
 	P50MS int64 `json:"program_p50_ms"`
@@ -145,6 +148,7 @@
 	r.Answered += p.Answered
 	r.NotRun += p.NotRun
 	r.Unknown += p.Unknown
+	r.Cut += p.Cut
 	r.Violations = append(r.Violations, p.Violations...)
 }
 
@@ -204,7 +208,7 @@
 
 func (r *runner) open(ctx context.Context, k Kind, parent, key string, res *ProgramResult) (*conversation, error) {
 	var p api.Program
-	err := r.persist(ctx, func(host string) error {
+	err := r.persist(ctx, res, func(host string) error {
 		var err error
 		p, err = r.client(host, k).Create(ctx, api.CreateProgram{Service: k.Service, Parent: parent, Key: key})
 		return err
@@ -219,13 +223,16 @@
 // persist tries a request at one host after another until it is answered, it is
 // refused for good, or patience ends. Every request here may be repeated: the
 // system knows it again.
-func (r *runner) persist(ctx context.Context, try func(host string) error) error {
+func (r *runner) persist(ctx context.Context, res *ProgramResult, try func(host string) error) error {
 	limit := time.Now().Add(r.plan.Patience)
 	for {
 		r.mu.Lock()
 		host := r.plan.Hosts[r.rng.IntN(len(r.plan.Hosts))]
 		r.mu.Unlock()
 		err := try(host)
+		if err != nil && failure.From(err).Kind == failure.PeerUnavailable && failure.From(err).Ran != failure.RanNo {
+			res.Cut++
+		}
 		if err == nil || final(err) || time.Now().After(limit) || ctx.Err() != nil {
 			return err
 		}
@@ -268,7 +275,7 @@
 // send makes a call; a streamed one must stream just what its answer says.
 func (c *conversation) send(ctx context.Context, call api.Call) (api.Answer, error) {
 	var a api.Answer
-	err := c.r.persist(ctx, func(host string) error {
+	err := c.r.persist(ctx, c.res, func(host string) error {
 		client := c.r.client(host, c.kind)
 		var err error
 		if !c.kind.Stream || call.Body != nil {
@@ -325,7 +332,7 @@
 }
 
 func (c *conversation) end(ctx context.Context) {
-	err := c.r.persist(ctx, func(host string) error { return c.r.client(host, c.kind).End(ctx, c.id) })
+	err := c.r.persist(ctx, c.res, func(host string) error { return c.r.client(host, c.kind).End(ctx, c.id) })
 	if err != nil {
 		return
 	}
--- a/daemon/node/callers.go
+++ b/daemon/node/callers.go
@@ -35,6 +35,7 @@
 		Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return n.ctx },
 	}
+	n.servers = append(n.servers, s)
 	n.goDo(func() { _ = s.Serve(l) }) // ends with the listener
 	n.goDo(func() {
 		<-n.ctx.Done()
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -47,6 +47,8 @@
 	set      *settings.Settings
 	log      *log.Logger
 	start    time.Time
+	client   *http.Client
+	servers  []*http.Server
 	platform *platform.Client
 	targets  *target.Client
 	metrics  metrics.Registry
@@ -82,7 +84,7 @@
 		IdleConnTimeout: 90 * time.Second, DisableCompression: true,
 	}}
 	n := &Node{
-		opt: opt, set: opt.Settings, log: opt.Log, start: time.Now(),
+		opt: opt, set: opt.Settings, log: opt.Log, start: time.Now(), client: client,
 		platform: platform.New(client, opt.Settings.PlatformURL, opt.Settings.PlatformToken),
 		targets:  target.New(client),
 		metrics:  metrics.NewRegistry(),
@@ -245,7 +247,10 @@
 	n.goDo(func() {
 		defer cancel()
 		begun := time.Now()
-		done := n.targets.Call(ctx, &s, func(text string) { n.chunk(s.Call, text) })
+		done := &host.TargetDone{Call: s.Call, Target: s.Target.Name, Outcome: host.TargetRefused, Detail: "too late to send"}
+		if n.now() < s.NotAfter {
+			done = n.targets.Call(ctx, &s, func(text string) { n.chunk(s.Call, text) })
+		}
 		n.timer("target.call").UpdateSince(begun)
 		n.mu.Lock()
 		defer n.mu.Unlock()
@@ -340,6 +345,9 @@
 		return err
 	}
 	n.flushOutboxes(ctx)
+	for _, s := range n.servers {
+		_ = s.Shutdown(ctx) // idle connections end; requests were waited for
+	}
 	n.Kill()
 	n.log.Info("stopped")
 	return nil
@@ -354,6 +362,7 @@
 	for _, l := range []net.Listener{n.opt.Callers, n.opt.Operators, n.opt.Peers} {
 		_ = l.Close() // nothing more is accepted either way
 	}
+	n.client.CloseIdleConnections()
 	n.work.Wait()
 }
 
--- a/daemon/node/route.go
+++ b/daemon/node/route.go
@@ -24,6 +24,9 @@
 	stream  bool
 	// onEvent gets the pieces of a streamed answer.
 	onEvent func(streamEvent)
+
+	streamed bool // something was passed on
+	again    bool // by an earlier attempt
 }
 
 // Pauses between attempts to reach the owner of a slot.
@@ -40,12 +43,15 @@
 	pause := backoff.NewExponentialBackOff(
 		backoff.WithInitialInterval(routeFirstPause), backoff.WithMaxInterval(routeMaxPause), backoff.WithMaxElapsedTime(n.set.ForwardPatience))
 	maybe := false // an owner may have taken the request
+	rq.follow()
 	for {
 		out, taken := n.tryOwner(ctx, rq)
 		maybe = maybe || taken
 		if out.Failure == nil || !elsewhere(out.Failure.Kind) {
+			rq.settle()
 			return out
 		}
+		rq.again = true
 		wait := pause.NextBackOff()
 		if wait == backoff.Stop {
 			return giveUp(out, maybe)
@@ -58,6 +64,31 @@
 	}
 }
 
+// follow makes what was streamed void before another owner streams the answer
+// from its beginning.
+func (rq *request) follow() {
+	if rq.onEvent == nil {
+		return
+	}
+	pass := rq.onEvent
+	rq.onEvent = func(ev streamEvent) {
+		if rq.again && rq.streamed && !ev.restart {
+			pass(streamEvent{restart: true})
+		}
+		rq.again = false
+		rq.streamed = true
+		pass(ev)
+	}
+}
+
+// settle makes pieces of an earlier attempt void when the final one, whose
+// answer may differ, streamed none.
+func (rq *request) settle() {
+	if rq.onEvent != nil && rq.again && rq.streamed {
+		rq.onEvent(streamEvent{restart: true})
+	}
+}
+
 // elsewhere reports whether another attempt may find the owner.
 func elsewhere(k failure.Kind) bool {
 	switch k {
