--- a/ctl/always/always_test.go
+++ b/ctl/always/always_test.go
@@ -60,6 +60,8 @@
 		synctest.Test(t, func(t *testing.T) {
 			for _, fc := range faultCases {
 				if onlyCase == "" || onlyCase == fc.name {
+					t.Log("case", fc.name)
+					println("CASE", fc.name)
 					done[fc.name] = carryOut(t, fc)
 				}
 			}
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -340,6 +340,9 @@
 // every request it has taken. It returns when that is done, or with a Failure
 // when ctx ends first; the host then goes on stopping.
 func (n *Node) Drain(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(n.ctx, cancel)() // killed meanwhile
 	n.log.Info("draining")
 	n.step(&host.Drain{})
 	select {
--- a/daemon/node/peers.go
+++ b/daemon/node/peers.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
@@ -44,7 +43,9 @@
 	address string
 	frames  chan *peerpb.Frame
 
-	mu      sync.Mutex
+	// turn is held by the one that looks at or replaces session. It is a
+	// channel, so that waiting for a slow dial can be given up.
+	turn    chan struct{}
 	session *yamux.Session
 }
 
@@ -52,7 +53,7 @@
 func (n *Node) outbox(address string) *outbox {
 	o := n.outboxes[address]
 	if o == nil {
-		o = &outbox{n: n, address: address, frames: make(chan *peerpb.Frame, outboxFrames)}
+		o = &outbox{n: n, address: address, frames: make(chan *peerpb.Frame, outboxFrames), turn: make(chan struct{}, 1)}
 		n.outboxes[address] = o
 		n.goDo(o.run)
 	}
@@ -124,13 +125,17 @@
 }
 
 func (o *outbox) connect() (*yamux.Session, error) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
+	ctx, cancel := context.WithTimeout(o.n.ctx, dialTimeout)
+	defer cancel()
+	select {
+	case o.turn <- struct{}{}:
+		defer func() { <-o.turn }()
+	case <-ctx.Done():
+		return nil, failure.Wrap(ctx.Err(), failure.PeerUnavailable, "dial %s", o.address)
+	}
 	if o.session != nil && !o.session.IsClosed() {
 		return o.session, nil
 	}
-	ctx, cancel := context.WithTimeout(o.n.ctx, dialTimeout)
-	defer cancel()
 	conn, err := o.n.opt.Dialer.DialContext(ctx, "tcp", o.address)
 	if err != nil {
 		return nil, err
@@ -159,8 +164,8 @@
 }
 
 func (o *outbox) close() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
+	o.turn <- struct{}{} // a dial under way ends with the host
+	defer func() { <-o.turn }()
 	if o.session != nil {
 		_ = o.session.Close() // at the end of the host
 	}
