--- /dev/null
+++ b/core/journal/journal_test.go
@@ -0,0 +1,82 @@
+package journal
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/core/peerpb"
+)
+
+func record(program string, bytes int) *peerpb.Record {
+	return &peerpb.Record{Program: program, Body: &peerpb.Record_Accepted{Accepted: &peerpb.CallAccepted{Prompt: make([]byte, bytes)}}}
+}
+
+func TestWriterGroupsRecords(t *testing.T) {
+	w := NewWriter("s", "n", 4096)
+	for range 10 {
+		w.Append(record("p", 1000))
+	}
+	number, body, ok := w.Begin()
+	require.True(t, ok)
+	assert.EqualValues(t, 1, number)
+	seg, err := Decode(body)
+	require.NoError(t, err)
+	assert.Len(t, seg.Records, 3, "as many as fit")
+	_, _, again := w.Begin()
+	assert.False(t, again, "one segment at a time")
+	w.Done(false, 0)
+	assert.Zero(t, w.Durable())
+	number, body, _ = w.Begin()
+	assert.EqualValues(t, 1, number, "the same number until it is written")
+	w.Done(true, len(body))
+	assert.EqualValues(t, 3, w.Durable())
+	assert.Len(t, w.Since(0), 7)
+	assert.Len(t, w.Since(8), 2)
+	assert.EqualValues(t, 4, w.Since(0)[0].Lsn)
+}
+
+func TestWriterTakesARecordLargerThanASegment(t *testing.T) {
+	w := NewWriter("s", "n", 1024)
+	w.Append(record("p", 5000))
+	_, body, ok := w.Begin()
+	require.True(t, ok)
+	seg, err := Decode(body)
+	require.NoError(t, err)
+	assert.Len(t, seg.Records, 1)
+}
+
+func TestDamageIsDetected(t *testing.T) {
+	body, err := Encode(&peerpb.Segment{Stream: "s", Number: 7, Records: []*peerpb.Record{record("p", 100)}})
+	require.NoError(t, err)
+	for i := range body {
+		damaged := append([]byte(nil), body...)
+		damaged[i] ^= 0x40
+		_, err := Decode(damaged)
+		assert.True(t, failure.Is(err, failure.Corrupt), "byte %d", i)
+		_, err = Decode(body[:i])
+		assert.True(t, failure.Is(err, failure.Corrupt), "cut at %d", i)
+	}
+}
+
+func TestKeysSortAsNumbers(t *testing.T) {
+	assert.Less(t, Key("s", 9), Key("s", 10))
+	n, err := Number(Key("dc/h.1", 42))
+	require.NoError(t, err)
+	assert.EqualValues(t, 42, n)
+	_, err = Number("journal/s/x")
+	assert.True(t, failure.Is(err, failure.Corrupt))
+}
+
+func FuzzDecode(f *testing.F) {
+	body, _ := Encode(&peerpb.Segment{Stream: "s", Number: 1, Records: []*peerpb.Record{record("p", 10)}})
+	f.Add(body)
+	f.Add([]byte("PJS1"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if s, err := Decode(b); err == nil && s == nil {
+			t.Fatal("neither a segment nor an error")
+		}
+	})
+}
