--- a/ctl/command/replay.go
+++ b/ctl/command/replay.go
@@ -1,10 +1,131 @@
 package command
 
-import "github.com/pistachioarch/pistachioarch/core/failure"
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
 
-type replayCommand struct{ app *app }
+	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/core/sched"
+	"github.com/pistachioarch/pistachioarch/ctl/replay"
+)
+
+type replayCommand struct {
+	app      *app
+	Trace    string `long:"trace" value-name:"FILE.jsonl" description:"trace to replay; FILE.want.json beside it states the outcome"`
+	Policy   string `long:"policy" default:"default" description:"default, round_robin, least_loaded, sticky_fcfs, or all"`
+	Seed     uint64 `long:"seed" default:"1" description:"seed of the random choices"`
+	Plot     string `long:"plot" value-name:"FILE.png" description:"plot the results"`
+	Generate string `long:"generate" value-name:"DIR" description:"write the users' traces to a folder and stop"`
+}
 
 // Execute implements flags.Commander.
 func (c *replayCommand) Execute([]string) error {
-	return failure.New(failure.Usage, "replay is not built yet")
+	if c.Generate != "" {
+		return c.generate()
+	}
+	if c.Trace == "" {
+		return failure.New(failure.Usage, "--trace is needed")
+	}
+	t, want, err := readTrace(c.Trace)
+	if err != nil {
+		return err
+	}
+	policies := []string{c.Policy}
+	if c.Policy == "all" {
+		policies = sched.Policies()
+	}
+	var results []*replay.Result
+	for i, p := range policies {
+		c.app.progress("%s under %s (%d of %d)", t.Header.Trace, p, i+1, len(policies))
+		r, err := replay.Run(t, p, c.Seed)
+		if err != nil {
+			c.app.endProgress()
+			return err
+		}
+		results = append(results, r)
+	}
+	c.app.endProgress()
+	if c.Plot != "" {
+		if err := replay.Plot(results, c.Plot); err != nil {
+			return err
+		}
+	}
+	return c.print(results, want)
+}
+
+// print writes one JSON object for each policy, or a table, and checks the
+// product's policy against the wanted outcome; the baselines are only shown.
+func (c *replayCommand) print(results []*replay.Result, want *replay.Want) error {
+	if c.app.globals.Output == "json" {
+		e := json.NewEncoder(c.app.out)
+		for _, r := range results {
+			if err := e.Encode(r); err != nil {
+				return failure.Wrap(err, failure.Internal, "output")
+			}
+		}
+	} else if err := c.table(results); err != nil {
+		return err
+	}
+	if want == nil {
+		return nil
+	}
+	for _, r := range results {
+		if len(results) > 1 && r.Policy != sched.PolicyDefault {
+			continue
+		}
+		if err := want.Check(r); err != nil {
+			return &outcomeError{code: ExitOutcome, err: err}
+		}
+	}
+	return nil
+}
+
+func (c *replayCommand) table(results []*replay.Result) error {
+	var rows []string
+	for _, r := range results {
+		rows = append(rows, row(r.Trace, r.Policy, fmt.Sprintf("%.0f", r.Latency.P50), fmt.Sprintf("%.0f", r.Latency.P95),
+			fmt.Sprintf("%.0f", r.Latency.P99), fmt.Sprintf("%.0f", r.Latency.Max), r.WastedCacheTokens, r.Completed, r.NotRun, r.Unknown, r.Violations))
+	}
+	return c.app.print(results, "TRACE\tPOLICY\tP50 MS\tP95 MS\tP99 MS\tMAX MS\tWASTED\tCOMPLETED\tNOT RUN\tUNKNOWN\tVIOLATIONS", rows)
+}
+
+func readTrace(path string) (*replay.Trace, *replay.Want, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, nil, failure.Wrap(err, failure.Usage, "trace")
+	}
+	defer func() { _ = f.Close() }() // only read
+	t, err := replay.Read(f)
+	if err != nil {
+		return nil, nil, err
+	}
+	body, err := os.ReadFile(strings.TrimSuffix(path, ".jsonl") + ".want.json")
+	if os.IsNotExist(err) {
+		return t, nil, nil
+	}
+	want := &replay.Want{}
+	if err == nil {
+		err = json.Unmarshal(body, want)
+	}
+	return t, want, failure.Wrap(err, failure.Usage, "wanted outcome")
+}
+
+func (c *replayCommand) generate() error {
+	for _, w := range replay.Workloads(c.Seed) {
+		path := filepath.Join(c.Generate, w.Name+".jsonl")
+		f, err := os.Create(path)
+		if err != nil {
+			return failure.Wrap(err, failure.Usage, "trace")
+		}
+		if err := w.Generate(f); err != nil {
+			return err
+		}
+		if err := f.Close(); err != nil {
+			return failure.Wrap(err, failure.Usage, "trace")
+		}
+	}
+	return nil
 }
--- /dev/null
+++ b/ctl/replay/clock.go
@@ -0,0 +1,58 @@
+package replay
+
+import (
+	"container/heap"
+	"time"
+)
+
+// clock is a queue of events on virtual time. Events of one time run in the
+// order in which they were added.
+type clock struct {
+	now    time.Duration
+	events eventHeap
+	order  uint64
+}
+
+type event struct {
+	at    time.Duration
+	order uint64
+	run   func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].order < h[j].order
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*h = old[:len(old)-1]
+	return e
+}
+
+// after runs f once d has passed.
+func (c *clock) after(d time.Duration, f func()) {
+	c.order++
+	heap.Push(&c.events, event{at: c.now + max(0, d), order: c.order, run: f})
+}
+
+// step runs the next event.
+func (c *clock) step() bool {
+	if len(c.events) == 0 {
+		return false
+	}
+	e := heap.Pop(&c.events).(event)
+	c.now = e.at
+	e.run()
+	return true
+}
+
+func ms(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
