replay: the fake platform finds keys by binary search

Cause: every operation sorted all keys for each watch; a replay of two minutes did not end in ten. Ruled out: an endless loop (the events went on).

--- a/ctl/replay/platform.go
+++ b/ctl/replay/platform.go
@@ -1,7 +1,6 @@
 package replay
 
 import (
-	"maps"
 	"slices"
 	"strings"
 
@@ -13,6 +12,7 @@
 	down     bool
 	revision uint64
 	all      map[string]*stored
+	keys     []string // of all, in order
 	watchers []*watcher
 	calls    uint64
 	// loseReply loses the reply of each n-th write, staleReads answers each
@@ -40,6 +40,7 @@
 func (o *objects) do(op host.PlatformOp, reply func(*host.PlatformReply)) {
 	o.calls++
 	r := &host.PlatformReply{ID: op.ID}
+	before := o.revision
 	if o.down {
 		r.Status = host.OpUnavailable
 		reply(r)
@@ -63,7 +64,9 @@
 		return
 	}
 	reply(r)
-	o.notify()
+	if o.revision != before {
+		o.notify()
+	}
 }
 
 func (o *objects) get(op host.PlatformOp, r *host.PlatformReply) {
@@ -87,6 +90,8 @@
 	if s == nil {
 		s = &stored{deleted: true}
 		o.all[op.Key] = s
+		at, _ := slices.BinarySearch(o.keys, op.Key)
+		o.keys = slices.Insert(o.keys, at, op.Key)
 	}
 	current := s.version
 	if s.deleted {
@@ -121,9 +126,13 @@
 
 func (o *objects) below(prefix string, since uint64, bodies bool) []host.Object {
 	var found []host.Object
-	for _, key := range slices.Sorted(maps.Keys(o.all)) {
+	at, _ := slices.BinarySearch(o.keys, prefix)
+	for _, key := range o.keys[at:] {
+		if !strings.HasPrefix(key, prefix) {
+			break
+		}
 		s := o.all[key]
-		if !strings.HasPrefix(key, prefix) || s.deleted || s.revision <= since {
+		if s.deleted || s.revision <= since {
 			continue
 		}
 		one := host.Object{Key: key, Version: s.version}
