sched: oldest program first; paused caches dropped by predicted idle time

Cause: under load a call-level order lets every program wait at each of its calls, and interleaves as many programs as there are; the p95 program waits longest. Weights swept: 0, 0.3, 1, 3 ms a token.

--- a/core/host/call.go
+++ b/core/host/call.go
@@ -216,6 +216,11 @@
 	p := f.p
 	p.active = f
 	p.slot.busy++
+	if p.begun == 0 {
+		p.begun = f.arrived
+	} else if len(p.turns) > 0 {
+		p.notePause(f.arrived - p.usedAt)
+	}
 	p.usedAt = h.now
 	h.active[p] = struct{}{}
 	if refused := h.admit(f); refused != nil {
@@ -377,7 +382,7 @@
 		Program: p.id, Sequence: f.accepted.Sequence, Service: f.accepted.Service,
 		Priority: f.then.Priority, Objective: objective,
 		Attained: p.spent, Prompt: f.accepted.PromptTokens, History: p.history, Output: f.accepted.MaxTokens,
-		Arrived: f.arrived, NotBefore: f.item.NotBefore, Holder: holder, HolderTokens: held, Avoid: f.item.Avoid,
+		Arrived: f.arrived, Begun: p.begun, NotBefore: f.item.NotBefore, Holder: holder, HolderTokens: held, Avoid: f.item.Avoid,
 	}
 	if !h.sched.Enqueue(&f.item, retry) {
 		h.fail(f, failure.Retry(failure.Overloaded, overloadedRetry, "no room in the queue of %s", f.accepted.Service))
@@ -457,11 +462,14 @@
 
 func (h *Host) transmit(f *flight, t *sched.Target) {
 	svc := h.set().Services[f.accepted.Service]
+	if svc.Kind == decl.Engine && h.sched.MakesRoom() {
+		h.makeRoom(t, f.p.history+f.accepted.PromptTokens-f.p.heldAt(f.target))
+	}
 	f.sentAt = h.now
 	f.until = earliest(h.now+svc.Timeout, f.deadline)
 	send := Send{
 		Call: f.call(), Target: t.Decl, Kind: svc.Kind, Slot: f.p.slot.slot, Epoch: f.p.slot.epoch,
-		Prompt: f.accepted.Prompt, MaxTokens: f.accepted.MaxTokens, Priority: f.then.Priority, Timeout: f.until - h.now,
+		Prompt: f.accepted.Prompt, MaxTokens: f.accepted.MaxTokens, Priority: f.item.Rank(), Timeout: f.until - h.now,
 		NotAfter: h.servesUntil(),
 	}
 	if svc.Kind == decl.Engine {
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -36,7 +36,9 @@
 	active   map[*program]struct{} // programs with a call under way
 	releases map[releaseKey]*releaseTask
 	limits   map[limitKey]*rate.Limiter
-	names    uint64 // program names given out
+	// holdersAt are the programs with cache at a target, by its name.
+	holdersAt map[string]map[*program]struct{}
+	names     uint64 // program names given out
 
 	draining bool
 	paced    pacing
@@ -62,15 +64,16 @@
 	}
 	self := cfg.member()
 	h := &Host{
-		cfg:      cfg,
-		self:     self,
-		rng:      rand.New(rand.NewPCG(cfg.Seed, ident.Hash([]byte(self)))),
-		sched:    sched.New(policy),
-		programs: map[ident.Program]*program{},
-		byKey:    map[createKey]ident.Program{},
-		active:   map[*program]struct{}{},
-		releases: map[releaseKey]*releaseTask{},
-		limits:   map[limitKey]*rate.Limiter{},
+		cfg:       cfg,
+		self:      self,
+		rng:       rand.New(rand.NewPCG(cfg.Seed, ident.Hash([]byte(self)))),
+		sched:     sched.New(policy),
+		programs:  map[ident.Program]*program{},
+		byKey:     map[createKey]ident.Program{},
+		active:    map[*program]struct{}{},
+		releases:  map[releaseKey]*releaseTask{},
+		limits:    map[limitKey]*rate.Limiter{},
+		holdersAt: map[string]map[*program]struct{}{},
 	}
 	h.ops.pending = map[uint64]*pendingOp{}
 	h.ops.reachable = true
--- a/core/host/outcome.go
+++ b/core/host/outcome.go
@@ -57,9 +57,8 @@
 	p, tokens := f.p, u.Prompt+u.Output
 	for i := range p.holders {
 		x := &p.holders[i]
-		if x.target == f.target && tokens > x.tokens {
-			h.sched.Hold(x.target, tokens-x.tokens)
-			x.tokens = tokens
+		if x.target == f.target {
+			h.setHeld(p, x, tokens)
 		}
 	}
 }
--- a/core/host/program.go
+++ b/core/host/program.go
@@ -40,6 +40,8 @@
 	reason  string
 	endedAt time.Duration
 	usedAt  time.Duration
+	begun   time.Duration // when its first call arrived here
+	pause   time.Duration // moving average of its tool pauses, 0 before the first
 	corrupt bool
 
 	firstSegment uint64
@@ -205,8 +207,9 @@
 	if p.key != "" {
 		delete(h.byKey, createKey{p.caller, p.key})
 	}
-	for _, x := range p.holders {
-		h.sched.Hold(x.target, -x.tokens)
+	for i := range p.holders {
+		x := &p.holders[i]
+		h.setHeld(p, x, 0)
 		delete(h.releases, releaseKey{x.target, p.id})
 	}
 }
@@ -225,6 +228,7 @@
 		return
 	}
 	p.slot.busy++
+	p.begun = h.now
 	h.active[p] = struct{}{}
 	reserve := f.attemptTokens()
 	f.reserved = int64(f.lostAttempts) * reserve // what they may have used
--- a/core/host/ready.go
+++ b/core/host/ready.go
@@ -52,8 +52,10 @@
 	History []Turn
 	// MaxTokens is what the budget leaves for the output.
 	MaxTokens int64
-	Priority  int
-	Timeout   time.Duration
+	// Priority orders the calls that wait inside the target: higher first. It
+	// falls with time, so that no call is passed for ever.
+	Priority int64
+	Timeout  time.Duration
 	// NotAfter is when, unless more is learned, this member may no longer send
 	// for the slot. A driver that comes to send later, as after a pause of its
 	// process, must not, and reports TargetRefused.
--- a/core/host/release.go
+++ b/core/host/release.go
@@ -84,9 +84,9 @@
 
 func (h *Host) released(p *program, target string) {
 	delete(h.releases, releaseKey{target, p.id})
-	for _, x := range p.holders {
-		if x.target == target {
-			h.sched.Hold(target, -x.tokens)
+	for i := range p.holders {
+		if x := &p.holders[i]; x.target == target {
+			h.setHeld(p, x, 0)
 			p.unhold(target)
 			h.append(p, &peerpb.Record{Body: &peerpb.Record_Released{Released: &peerpb.CacheReleased{Target: target}}})
 			return
--- a/core/sched/policy.go
+++ b/core/sched/policy.go
@@ -15,6 +15,9 @@
 	// Choose picks a target from candidates, which is not empty. It returns
 	// nil when the item should rather wait in the queue.
 	Choose(it *Item, candidates []*Target) *Target
+	// MakesRoom says whether the cache of paused programs is dropped on
+	// purpose when a target's memory is full, or left to the target's LRU.
+	MakesRoom() bool
 }
 
 // The names of the policies.
@@ -58,7 +61,15 @@
 	return best
 }
 
-type roundRobin struct{ next int }
+// leavesMemory is the part of the baselines that leaves memory to the targets.
+type leavesMemory struct{}
+
+func (leavesMemory) MakesRoom() bool { return false }
+
+type roundRobin struct {
+	leavesMemory
+	next int
+}
 
 func (*roundRobin) Key(it *Item) float64 { return fcfs(it) }
 func (r *roundRobin) Choose(_ *Item, candidates []*Target) *Target {
@@ -66,12 +77,12 @@
 	return candidates[r.next%len(candidates)]
 }
 
-type leastLoaded struct{}
+type leastLoaded struct{ leavesMemory }
 
 func (leastLoaded) Key(it *Item) float64                         { return fcfs(it) }
 func (leastLoaded) Choose(_ *Item, candidates []*Target) *Target { return least(candidates) }
 
-type stickyFCFS struct{}
+type stickyFCFS struct{ leavesMemory }
 
 func (stickyFCFS) Key(it *Item) float64 { return fcfs(it) }
 func (stickyFCFS) Choose(it *Item, candidates []*Target) *Target {
@@ -86,9 +97,8 @@
 // Parameters of the default policy. docs/POLICY.md says how the results move
 // when each is halved and doubled.
 type Parameters struct {
-	// AttainedWeight is how long a call is put back in the queue per token of
-	// service its program has had. A call that waits longer than a new one
-	// gains on it, which bounds the wait of long programs.
+	// AttainedWeight is how long a program is put back in the queue per token
+	// of service it has had.
 	AttainedWeight time.Duration
 	// AttainedCap bounds the tokens counted, and with it the put-back.
 	AttainedCap int64
@@ -96,37 +106,41 @@
 	PriorityStep time.Duration
 	// RecomputeWeight multiplies the time to recompute a prefix, by objective.
 	LatencyRecompute, CacheRecompute float64
-	// EvictWeight multiplies the time to recompute what a placement would
-	// push out of a full cache.
-	EvictWeight float64
+	// Ahead is how many batches of calls may wait inside a target. They keep its
+	// places filled although word of a free place comes late; the target takes
+	// them by the same order as the queue here does.
+	Ahead int
 }
 
 // DefaultParameters returns the measured defaults.
 func DefaultParameters() Parameters {
 	return Parameters{
-		AttainedWeight:   time.Millisecond,
-		AttainedCap:      20_000,
+		AttainedWeight:   300 * time.Microsecond,
+		AttainedCap:      100_000,
 		PriorityStep:     2 * time.Second,
-		LatencyRecompute: 2,
+		LatencyRecompute: 8,
 		CacheRecompute:   8,
-		EvictWeight:      0.5,
+		Ahead:            2,
 	}
 }
 
-// Default is the product's policy: least attained service first, with ageing,
-// and the target with the least sum of queue wait, recompute time and memory
-// pressure. See docs/POLICY.md.
+// Default is the product's policy: the oldest program first, put back by the
+// service it has had, and the target with the least sum of queue wait and
+// recompute time. See docs/POLICY.md.
 type Default struct{ p Parameters }
 
 // NewDefault returns the default policy with the given parameters.
 func NewDefault(p Parameters) *Default { return &Default{p: p} }
 
-// Key implements Policy. Since the key is fixed on arrival, an item is passed
-// only by calls that arrive within the put-back, so none starves.
+// Key implements Policy. Programs that began earlier go first, so that those
+// under way are finished before more are begun: fewer are interleaved, which
+// leaves each more of the cache, and no program waits at each of its calls for
+// all that came since. A call is passed only by programs that began within the
+// put-back after its own, so none starves.
 func (d *Default) Key(it *Item) float64 {
 	putBack := time.Duration(min(it.Attained, d.p.AttainedCap)) * d.p.AttainedWeight
 	headStart := time.Duration(it.Priority-decl.DefaultPriority) * d.p.PriorityStep
-	return float64(it.Arrived + putBack - headStart)
+	return float64(it.Begun + putBack - headStart)
 }
 
 // Choose implements Policy.
@@ -139,12 +153,15 @@
 			best, bestCost = t, cost
 		}
 	}
-	if best.Full() {
+	if best.Load() >= best.Decl.Batch*(1+d.p.Ahead) {
 		return nil
 	}
 	return best
 }
 
+// MakesRoom implements Policy.
+func (d *Default) MakesRoom() bool { return true }
+
 func (d *Default) cost(it *Item, t *Target) float64 {
 	recompute := d.p.LatencyRecompute
 	if it.Objective == decl.Cache {
@@ -158,7 +175,6 @@
 	prefill := float64(t.Decl.Prefill)
 	cost := float64(t.Wait())
 	cost += recompute * prefill * float64(tokens-cached)
-	cost += recompute * d.p.EvictWeight * prefill * float64(t.Overflow(tokens-cached))
 	// A tie goes to the emptier target.
 	return cost + float64(t.Load())/float64(t.Decl.Batch)*float64(time.Microsecond)
 }
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -21,6 +21,8 @@
 	// Output the most that it may produce.
 	Prompt, History, Output int64
 	Arrived                 time.Duration
+	// Begun is when the program's first call arrived.
+	Begun time.Duration
 	// NotBefore delays a retry.
 	NotBefore time.Duration
 	// Holder is the target that has the program's cache, of HolderTokens.
@@ -34,6 +36,10 @@
 	index int
 }
 
+// Rank is the priority under which the item goes to its target, which takes
+// higher ones first: the order of the queue, in milliseconds.
+func (it *Item) Rank() int64 { return -int64(it.key / float64(time.Millisecond)) }
+
 // queue is a heap of items by key, then by order of arrival.
 type queue []*Item
 
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -36,6 +36,9 @@
 	return &Scheduler{policy: p, services: map[string]*service{}, targets: map[string]*Target{}}
 }
 
+// MakesRoom is the policy's answer of that name.
+func (s *Scheduler) MakesRoom() bool { return s.policy.MakesRoom() }
+
 // Apply replaces the declaration. Targets that stay keep their state; items of
 // services that are gone are returned.
 func (s *Scheduler) Apply(set *decl.Set) (orphans []*Item) {
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -33,9 +33,6 @@
 // Load is the estimated number of calls at the target.
 func (t *Target) Load() int { return t.InFlight + t.PeerInFlight }
 
-// Full reports whether another call would wait inside the target.
-func (t *Target) Full() bool { return t.Load() >= t.Decl.Batch }
-
 // Wait estimates how long a call that arrives now waits for a place.
 func (t *Target) Wait() time.Duration {
 	over := t.Load() - t.Decl.Batch + 1
@@ -45,10 +42,16 @@
 	return t.mean * time.Duration(over) / time.Duration(t.Decl.Batch)
 }
 
-// Overflow is by how many tokens the caches would exceed the target's memory
-// if add more tokens came to it.
+// Overflow is by how many tokens this host's programs would exceed their share
+// of the target's memory if add more tokens came to it. The share of a host
+// follows from what it and its peers keep there.
 func (t *Target) Overflow(add int64) int64 {
-	return max(0, t.Held+t.PeerHeld+add-t.Decl.CacheTokens)
+	over := t.Held + t.PeerHeld + add - t.Decl.CacheTokens
+	if over <= 0 {
+		return 0
+	}
+	own := float64(t.Held+add) / float64(max(1, t.Held+t.PeerHeld+add))
+	return int64(float64(over) * own)
 }
 
 // setPeer replaces what peer has under way.
--- a/ctl/replay/workloads.go
+++ b/ctl/replay/workloads.go
@@ -5,10 +5,10 @@
 func Workloads(seed uint64) []Workload {
 	return []Workload{
 		mizuchi("mizuchi-calm", seed, 0.35, 1, nil),
-		mizuchi("mizuchi-busy", seed+1, 1, 1.6, nil),
+		mizuchi("mizuchi-busy", seed+1, 2, 1.6, nil),
 		mizuchi("mizuchi-faults", seed+2, 0.7, 1, mizuchiFaults),
 		muscat("muscat-calm", seed+3, 0.35, 1, nil),
-		muscat("muscat-busy", seed+4, 1, 1.6, nil),
+		muscat("muscat-busy", seed+4, 1.8, 1.6, nil),
 		muscat("muscat-faults", seed+5, 0.7, 1, muscatFaults),
 	}
 }
@@ -22,14 +22,14 @@
 		Name: name, LinkMS: 1.5, ClientMS: 1, Centres: []string{"sapporo-a", "sapporo-b", "asahikawa", "hakodate"}, Hosts: 8,
 		Callers: 40, HotShare: 0.2, SpanMS: 120_000, Burst: burst, Faults: faults, DrawnFrom: seed,
 		Services: []WorkloadService{
-			{Name: "agent-llm", Objective: "latency", Engines: 9, Batch: 8, Cache: 60_000, Kinds: []WorkloadKind{
-				{Name: "crew", Programs: scale(520, load), Turns: [2]int{1, 5}, Prompt: [2]int{100, 600}, Output: [2]int{60, 260}, PauseMS: [2]float64{300, 4000}, Orders: 0.3},
-				{Name: "supervisor", Programs: scale(110, load), Turns: [2]int{8, 40}, Prompt: [2]int{200, 2500}, Output: [2]int{120, 600}, PauseMS: [2]float64{500, 8000}, SubAgent: 0.4, Hung: 0.1, HungMS: 60_000},
+			{Name: "agent-llm", Objective: "latency", Engines: 9, Batch: 8, Cache: 120_000, Kinds: []WorkloadKind{
+				{Name: "crew", Programs: scale(850, load), Turns: [2]int{1, 5}, Prompt: [2]int{100, 600}, Output: [2]int{60, 260}, PauseMS: [2]float64{300, 4000}, Orders: 0.3},
+				{Name: "supervisor", Programs: scale(30, load), Turns: [2]int{15, 90}, Prompt: [2]int{200, 2500}, Output: [2]int{120, 600}, PauseMS: [2]float64{500, 8000}, SubAgent: 0.8, Hung: 0.1, HungMS: 60_000},
 				{Name: "loop", Programs: scale(4, load), Turns: [2]int{80, 120}, Prompt: [2]int{60, 120}, Output: [2]int{60, 100}, PauseMS: [2]float64{50, 200}},
 			}},
-			{Name: "crew-app", Objective: "latency", Engines: 11, Batch: 8, Cache: 60_000, Kinds: []WorkloadKind{
-				{Name: "trace", Programs: scale(700, load), Turns: [2]int{2, 8}, Prompt: [2]int{200, 1500}, Output: [2]int{60, 300}, PauseMS: [2]float64{200, 3000}, Orders: 0.2},
-				{Name: "sweep", Programs: scale(60, load), Turns: [2]int{15, 40}, Prompt: [2]int{300, 1500}, Output: [2]int{150, 500}, PauseMS: [2]float64{500, 6000}, SubAgent: 0.3},
+			{Name: "crew-app", Objective: "latency", Engines: 11, Batch: 8, Cache: 120_000, Kinds: []WorkloadKind{
+				{Name: "trace", Programs: scale(850, load), Turns: [2]int{2, 8}, Prompt: [2]int{200, 1500}, Output: [2]int{60, 300}, PauseMS: [2]float64{200, 3000}, Orders: 0.2},
+				{Name: "sweep", Programs: scale(35, load), Turns: [2]int{15, 80}, Prompt: [2]int{300, 1500}, Output: [2]int{150, 500}, PauseMS: [2]float64{500, 6000}, SubAgent: 0.3},
 			}},
 		},
 	}
@@ -41,11 +41,11 @@
 		Name: name, LinkMS: 1.5, ClientMS: 3, Centres: []string{"seeb", "bawshar", "ruwi", "qurum"}, Hosts: 7,
 		Callers: 30, HotShare: 0.15, SpanMS: 150_000, Burst: burst, Faults: faults, DrawnFrom: seed,
 		Services: []WorkloadService{
-			{Name: "agent-llm", Objective: "cache", Engines: 14, Batch: 8, Cache: 60_000, Kinds: []WorkloadKind{
+			{Name: "agent-llm", Objective: "cache", Engines: 14, Batch: 8, Cache: 120_000, Kinds: []WorkloadKind{
 				{Name: "quote", Programs: scale(420, load), Turns: [2]int{2, 6}, Prompt: [2]int{300, 1500}, Output: [2]int{150, 500}, PauseMS: [2]float64{500, 8000}, Orders: 0.3},
 				{Name: "funeral", Programs: scale(170, load), Turns: [2]int{8, 30}, Prompt: [2]int{300, 3000}, Output: [2]int{150, 500}, PauseMS: [2]float64{1000, 15_000}, Orders: 0.8, SubAgent: 0.2, Hung: 0.05, HungMS: 60_000},
 			}},
-			{Name: "booking-app", Objective: "cache", Engines: 15, Batch: 8, Cache: 60_000, Kinds: []WorkloadKind{
+			{Name: "booking-app", Objective: "cache", Engines: 15, Batch: 8, Cache: 120_000, Kinds: []WorkloadKind{
 				{Name: "booking", Programs: scale(600, load), Turns: [2]int{3, 10}, Prompt: [2]int{200, 1500}, Output: [2]int{80, 350}, PauseMS: [2]float64{300, 5000}, Orders: 0.5},
 				{Name: "plan", Programs: scale(90, load), Turns: [2]int{10, 30}, Prompt: [2]int{500, 2500}, Output: [2]int{200, 500}, PauseMS: [2]float64{1000, 10_000}},
 				{Name: "loop", Programs: scale(3, load), Turns: [2]int{80, 120}, Prompt: [2]int{60, 120}, Output: [2]int{60, 100}, PauseMS: [2]float64{50, 200}},
--- a/wire/target/target.go
+++ b/wire/target/target.go
@@ -51,7 +51,8 @@
 	Messages  []api.Message `json:"messages"`
 	MaxTokens int64         `json:"max_tokens"`
 	Stream    bool          `json:"stream"`
-	Priority  int           `json:"priority"`
+	// Priority orders what waits inside the engine, higher first.
+	Priority int64 `json:"priority"`
 	// Program names the owner of the KV cache.
 	Program string `json:"program"`
 }
