--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 MODULES := core wire daemon ctl
 
-.PHONY: all build demo test bench lint generate
+.PHONY: all build demo test bench replay soak capacity fuzz generate
 all: build
 
 build:
--- a/core/host/member.go
+++ b/core/host/member.go
@@ -54,6 +54,7 @@
 	tail         string
 	checkAt      time.Duration
 	revoked      bool
+	revokedAt    time.Duration // when that was seen
 }
 
 func (m *membership) add(name, dataCentre, address string) *peer {
@@ -309,7 +310,7 @@
 		p.leaseVersion, p.seenAt = o.Version, h.now
 	}
 	if l.RevokedBy != "" && !p.revoked {
-		p.revoked = true
+		p.revoked, p.revokedAt = true, h.now
 		h.peerGone(p)
 	}
 	// An earlier incarnation of this very host cannot be alive: this process
--- a/core/host/slots.go
+++ b/core/host/slots.go
@@ -284,13 +284,21 @@
 			continue
 		}
 		found = true
-		if !p.revoked {
+		if !p.revoked || h.now-p.revokedAt < centreDeadFor {
 			return false
 		}
 	}
-	return found && h.now > settleFor
+	return found
 }
 
+// centreDeadFor is how long all members of a data centre must have been revoked
+// before others claim its slots: a restarted host takes its own back sooner.
+const centreDeadFor = 30 * time.Second
+
+// removeAfter is how long what a revoked member left at the platform stays at
+// least. By then every slot table that could still name its stream is known.
+const removeAfter = time.Minute
+
 // claimDead claims the slots of a member whose lease is revoked. Its own data
 // centre does it, or any other once that one is dead. Every peer tries; the
 // conditional update lets one win.
@@ -310,7 +318,7 @@
 			return
 		}
 	}
-	if !h.streamNeeded(p.name) {
+	if h.now-p.revokedAt >= removeAfter && h.slots.tables[p.dataCentre] != nil && !h.streamNeeded(p.name) {
 		h.removeMember(p)
 	}
 }
--- a/core/host/watchpeer.go
+++ b/core/host/watchpeer.go
@@ -79,7 +79,7 @@
 		if s != OpOK {
 			return
 		}
-		p.revoked, p.tail, p.leaseVersion = true, l.Tail, version
+		p.revoked, p.revokedAt, p.tail, p.leaseVersion = true, h.now, l.Tail, version
 		h.peerGone(p)
 		h.note(Note{Kind: NoteTakeover, Member: p.name, Detail: "lease revoked"})
 		h.claimDead(p)
--- /dev/null
+++ b/ctl/bench/bench_test.go
@@ -0,0 +1,170 @@
+// Package bench measures what a host adds to a call, on the loopback, against
+// the same engine stand-in called directly in the same run.
+package bench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachioarch/pistachioarch/core/host"
+	"github.com/pistachioarch/pistachioarch/ctl/standin"
+	"github.com/pistachioarch/pistachioarch/ctl/store"
+	"github.com/pistachioarch/pistachioarch/daemon/node"
+	"github.com/pistachioarch/pistachioarch/daemon/settings"
+	"github.com/pistachioarch/pistachioarch/wire/api"
+	"github.com/pistachioarch/pistachioarch/wire/platform"
+	"github.com/pistachioarch/pistachioarch/wire/target"
+)
+
+const secretDigest = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b" // sha256("secret")
+
+// bed is two hosts of one data centre over real sockets.
+type bed struct {
+	engine string
+	hosts  []string // callers' addresses
+	client *http.Client
+	nodes  []*node.Node
+}
+
+func newBed(b *testing.B) *bed {
+	engine := standin.NewEngine(standin.EngineConfig{Batch: 4096, CacheTokens: 1 << 40, OutputTokens: 1, Prefill: 1, Decode: 1})
+	plat := httptest.NewServer(standin.NewPlatform().Handler())
+	eng := httptest.NewServer(engine.Handler())
+	b.Cleanup(plat.Close)
+	b.Cleanup(eng.Close)
+	x := &bed{engine: eng.URL, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}}}
+	for i := range 2 {
+		x.start(b, fmt.Sprintf("h%d", i+1), plat.URL)
+	}
+	s := store.New(platform.New(x.client, plat.URL, ""))
+	text := fmt.Sprintf("[service \"llm\"]\nqueue_limit = 100000\nrepeat_limit = 0\nturn_limit = 1000000\nhistory_tokens = 1000000000\n[target \"e\"]\nservice = llm\ndata_centre = a\nurl = %s\nbatch = 4096\ncache_tokens = 1000000000\n[caller \"c\"]\ntoken_sha256 = %s\nbudget = 1000000000000\n", eng.URL, secretDigest)
+	_, err := s.Apply(context.Background(), text, "bench", host.ConfigObject{}, 0)
+	require.NoError(b, err)
+	require.Eventually(b, func() bool {
+		for _, n := range x.nodes {
+			if st := n.Status(); st.ConfigVersion == 0 || st.Slots < 20 {
+				return false
+			}
+		}
+		return true
+	}, 20*time.Second, 10*time.Millisecond)
+	return x
+}
+
+func (x *bed) start(b *testing.B, name, platformURL string) {
+	set, err := settings.Parse(fmt.Appendf(nil, "[host]\nname = %s\ndata_centre = a\n[platform]\nurl = %s\n[operators]\ntoken_sha256 = %s\n", name, platformURL, secretDigest))
+	require.NoError(b, err)
+	var l [3]net.Listener
+	for i := range l {
+		l[i], err = net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(b, err)
+	}
+	n, err := node.New(node.Options{Settings: set, Log: log.New(io.Discard), Dialer: &net.Dialer{}, Callers: l[0], Operators: l[1], Peers: l[2]})
+	require.NoError(b, err)
+	n.Run()
+	b.Cleanup(n.Kill)
+	x.nodes = append(x.nodes, n)
+	x.hosts = append(x.hosts, l[0].Addr().String())
+}
+
+var question = []byte(`[{"role":"user","content":"where do we dig"}]`)
+
+// direct calls the engine as a host would.
+func (x *bed) direct(b *testing.B) {
+	body, _ := json.Marshal(target.Completion{Messages: []api.Message{{Role: "user", Content: "where do we dig"}}, MaxTokens: 1, Stream: true, Program: "a-1-x"})
+	req, _ := http.NewRequest(http.MethodPost, x.engine+"/v1/chat/completions", bytes.NewReader(body))
+	req.Header.Set(target.CallHeader, "a-1-x/0/1")
+	resp, err := x.client.Do(req)
+	require.NoError(b, err)
+	out, err := io.ReadAll(resp.Body)
+	require.NoError(b, err)
+	_ = resp.Body.Close()
+	require.True(b, strings.Contains(string(out), target.Done))
+}
+
+// call makes the first call of a program, so that no history grows.
+func (x *bed) call(b *testing.B, at int, program string) {
+	c := api.NewClient(x.client, "http://"+x.hosts[at], "secret")
+	_, err := c.Call(context.Background(), program, api.Call{MaxTokens: 1, Messages: question})
+	require.NoError(b, err)
+}
+
+func (x *bed) program(b *testing.B, at int) string {
+	p, err := api.NewClient(x.client, "http://"+x.hosts[at], "secret").Create(context.Background(), api.CreateProgram{Service: "llm"})
+	require.NoError(b, err)
+	return p.Program
+}
+
+func percentiles(b *testing.B, name string, took []time.Duration) {
+	slices.Sort(took)
+	b.ReportMetric(float64(took[len(took)/2].Microseconds()), name+"-p50-us")
+	b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), name+"-p99-us")
+}
+
+// BenchmarkAddedTime times calls made directly, at the owner, and through
+// another host, in turn.
+func BenchmarkAddedTime(b *testing.B) {
+	x := newBed(b)
+	var direct, owned, forwarded []time.Duration
+	timed := func(into *[]time.Duration, f func()) {
+		begun := time.Now()
+		f()
+		*into = append(*into, time.Since(begun))
+	}
+	for range 50 { // warm the connections
+		x.direct(b)
+		x.call(b, 1, x.program(b, 0))
+	}
+	b.ResetTimer()
+	for b.Loop() {
+		p, q := x.program(b, 0), x.program(b, 0)
+		timed(&direct, func() { x.direct(b) })
+		timed(&owned, func() { x.call(b, 0, p) })
+		timed(&forwarded, func() { x.call(b, 1, q) })
+	}
+	percentiles(b, "direct", direct)
+	percentiles(b, "owned", owned)
+	percentiles(b, "forwarded", forwarded)
+	b.ReportMetric(float64((owned[len(owned)/2] - direct[len(direct)/2]).Microseconds()), "added-owned-us")
+	b.ReportMetric(float64((forwarded[len(forwarded)/2] - direct[len(direct)/2]).Microseconds()), "added-forwarded-us")
+}
+
+// BenchmarkCallsPerSecond keeps 64 callers busy at one host.
+func BenchmarkCallsPerSecond(b *testing.B) {
+	x := newBed(b)
+	var sequence atomic.Int64
+	b.ResetTimer()
+	begun := time.Now()
+	b.SetParallelism(8)
+	b.RunParallel(func(pb *testing.PB) {
+		p := ""
+		n := uint32(0)
+		c := api.NewClient(x.client, "http://"+x.hosts[0], "secret")
+		for pb.Next() {
+			if p == "" || n == 8 {
+				p, n = x.program(b, 0), 0
+			}
+			if _, err := c.Call(context.Background(), p, api.Call{Sequence: n, MaxTokens: 1, Messages: question}); err != nil {
+				b.Error(err)
+				return
+			}
+			n++
+			sequence.Add(1)
+		}
+	})
+	b.ReportMetric(float64(sequence.Load())/time.Since(begun).Seconds(), "calls/s")
+}
--- a/ctl/replay/engine.go
+++ b/ctl/replay/engine.go
@@ -36,6 +36,7 @@
 
 type engineCall struct {
 	send   host.Send
+	from   *entry
 	prompt int64 // new tokens
 	output int64
 	done   func(*host.TargetDone)
@@ -129,6 +130,15 @@
 	e.start()
 }
 
+// hangUp drops the calls of a host that died: their connections are reset, and
+// an engine does not start, or go on with, a call whose caller is gone.
+func (e *engine) hangUp(from *entry) {
+	match := func(c *engineCall) bool { return c.from == from }
+	e.waiting = slices.DeleteFunc(e.waiting, match)
+	e.running = slices.DeleteFunc(e.running, match)
+	e.start()
+}
+
 // keep puts a program's tokens in the cache and evicts others if need be.
 func (e *engine) keep(program ident.Program, tokens int64) {
 	e.tokens += tokens - e.cache[program]
--- a/ctl/replay/regress_test.go
+++ b/ctl/replay/regress_test.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -16,6 +17,19 @@
 var schedules = map[string]string{
 	// A restarted owner did not know the keeper of its tail, which was cut off,
 	// and took it for dead.
+	// The model of an engine went on with the calls of a host that had died.
+	"owner restarts while a target is frozen": `
+{"at_ms":0,"fault":"target_freezes","target":"e1"}
+{"at_ms":1812,"fault":"target_returns","target":"e1"}
+{"at_ms":7,"fault":"host_dies","host":"h1"}
+{"at_ms":57,"fault":"host_returns","host":"h1"}`,
+	// A member of another data centre, which had not seen the newest slot table,
+	// deleted the journal of an incarnation that was still needed.
+	"host restarts twice at once": `
+{"at_ms":15,"fault":"host_dies","host":"h2"}
+{"at_ms":66,"fault":"host_returns","host":"h2"}
+{"at_ms":497,"fault":"host_dies","host":"h2"}
+{"at_ms":554,"fault":"host_returns","host":"h2"}`,
 	"owner restarts while the keeper of its tail is cut off": `
 {"at_ms":3,"fault":"data_centre_cut","data_centre":"a"}
 {"at_ms":4872,"fault":"data_centre_heals","data_centre":"a"}
@@ -32,9 +46,12 @@
 func TestSchedulesThatFailed(t *testing.T) {
 	for name, faults := range schedules {
 		text := strings.ReplaceAll(twoHosts, "\n", "") + "\n"
-		for _, p := range []string{"p0", "p1", "p2", "p3"} {
-			dc := map[bool]string{true: "b", false: "a"}[p != "p0"]
-			text += `{"at_ms":0,"program":"` + p + `","caller":"c","data_centre":"` + dc + `","service":"s","sequence":0,"prompt_tokens":50,"output_tokens":40,"last":true}` + "\n"
+		for i := range 8 {
+			dc := map[bool]string{true: "b", false: "a"}[i%4 != 0]
+			for j := range 3 {
+				text += fmt.Sprintf(`{"at_ms":%d,"program":"p%d","caller":"c","data_centre":"%s","service":"s","sequence":%d,"prompt_tokens":50,"output_tokens":40,"pause_ms":500,"last":%v}`+"\n",
+					i/2*150, i, dc, j, j == 2)
+			}
 		}
 		trace, err := Read(strings.NewReader(text + strings.TrimSpace(faults)))
 		require.NoError(t, err, name)
--- a/ctl/replay/replay_test.go
+++ b/ctl/replay/replay_test.go
@@ -178,15 +178,35 @@
 // TestRandomFaults draws fault schedules over the pure decisions. rapid shrinks
 // a failing one and prints the shortest; its seed is fixed by the flag
 // -rapid.seed, which CI and `make soak` set.
-func TestRandomFaults(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		tr := randomTrace(t)
-		r, err := RunWith(tr, sched.PolicyDefault, 1, host.Config{Slots: 8})
-		if err != nil {
-			t.Fatalf("%v\n%s", err, schedule(tr))
-		}
-		if r.Violations > 0 || r.NotRun > 0 {
-			t.Fatalf("%v %v\n%s", r.ViolationTexts, r.FailureTexts, schedule(tr))
+func TestRandomFaults(t *testing.T) { rapid.Check(t, holdsUnderFaults) }
+
+// failedSeeds are seeds of the property test that were red once.
+var failedSeeds = []string{"518748", "2288"}
+
+func TestSeedsThatFailed(t *testing.T) {
+	kept := map[string]string{}
+	for _, name := range []string{"rapid.seed", "rapid.checks"} {
+		kept[name] = flag.Lookup(name).Value.String()
+	}
+	defer func() {
+		for name, value := range kept {
+			require.NoError(t, flag.Set(name, value))
 		}
-	})
+	}()
+	require.NoError(t, flag.Set("rapid.checks", "3"))
+	for _, seed := range failedSeeds {
+		require.NoError(t, flag.Set("rapid.seed", seed))
+		rapid.Check(t, holdsUnderFaults)
+	}
+}
+
+func holdsUnderFaults(t *rapid.T) {
+	tr := randomTrace(t)
+	r, err := RunWith(tr, sched.PolicyDefault, 1, host.Config{Slots: 8})
+	if err != nil {
+		t.Fatalf("%v\n%s", err, schedule(tr))
+	}
+	if r.Violations > 0 || r.NotRun > 0 {
+		t.Fatalf("%v %v\n%s", r.ViolationTexts, r.FailureTexts, schedule(tr))
+	}
 }
--- a/ctl/replay/world.go
+++ b/ctl/replay/world.go
@@ -176,7 +176,6 @@
 // restart begins again after another member took this one's place.
 func (e *entry) restart() {
 	e.alive = false
-	e.later(0, func() {})
 	e.w.after(nearDelay, func() { _ = e.start() }) // the settings were checked at the first start
 }
 
@@ -250,7 +249,7 @@
 	w := e.w
 	t := w.engines[s.Target.Name]
 	delay := w.link(e.dc, t.header.DataCentre)
-	c := &engineCall{send: s, done: func(d *host.TargetDone) {
+	c := &engineCall{send: s, from: e, done: func(d *host.TargetDone) {
 		if w.apart(e.dc, t.header.DataCentre) && d.Outcome == host.TargetAnswered {
 			return // the answer does not get through
 		}
@@ -350,6 +349,9 @@
 		return
 	}
 	e.alive = false
+	for _, name := range w.engineNames() {
+		w.engines[name].hangUp(e)
+	}
 	lost := e.waiters
 	e.waiters = nil
 	for _, id := range sortedIDs(lost) {
