--- a/core/host/lease.go
+++ b/core/host/lease.go
@@ -126,7 +126,9 @@
 func (h *Host) holdsLease() bool { return h.lease.held && h.now < h.lease.until }
 
 // mayServe reports whether no other member can own this member's slots now.
-func (h *Host) mayServe() bool { return h.now < h.servesUntil() }
+func (h *Host) mayServe() bool {
+	return !h.ready.Lost && (h.holdsLease() || h.now < h.servesUntil())
+}
 
 // servesUntil is until when, from what is known now, no other member can own
 // this member's slots.
--- a/core/host/log.go
+++ b/core/host/log.go
@@ -32,6 +32,7 @@
 	cleanTo         uint64 // segments below are free once cleanLSN is durable
 	cleanLSN        uint64
 	deleting        bool
+	cleanAt         time.Duration
 
 	tails map[string]*heldTail // of other members, by stream
 }
@@ -66,6 +67,7 @@
 	// failureWait is how long a failure waits for its record to be durable
 	// before it is told as "ran: unknown".
 	failureWait = time.Second
+	cleanEvery  = time.Second
 	// Cleaning begins when the stream has more segments, or more bytes beyond
 	// twice the live ones, than these.
 	cleanSegments = 128
@@ -298,7 +300,11 @@
 	if l.firstExisting < min(l.firstKept, l.firstRegistered) {
 		h.deleteOldest()
 	}
-	if l.cleanTo != 0 || l.firstExisting < l.firstKept || !h.cleaningDue() || h.othersNeed() {
+	if h.now < l.cleanAt || l.cleanTo != 0 || l.firstExisting < l.firstKept {
+		return
+	}
+	l.cleanAt = h.now + cleanEvery
+	if !h.cleaningDue() || h.othersNeed() {
 		return
 	}
 	cut := min(l.firstKept+cleanBatch, l.writer.Segment())
--- a/core/sched/policy.go
+++ b/core/sched/policy.go
@@ -148,14 +148,14 @@
 	var best *Target
 	var bestCost float64
 	for _, t := range candidates {
+		if t.Load() >= t.Decl.Batch*(1+d.p.Ahead) {
+			continue
+		}
 		cost := d.cost(it, t)
 		if best == nil || cost < bestCost {
 			best, bestCost = t, cost
 		}
 	}
-	if best.Load() >= best.Decl.Batch*(1+d.p.Ahead) {
-		return nil
-	}
 	return best
 }
 
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -18,6 +18,7 @@
 	services map[string]*service
 	names    []string // of services, in order, so that every run decides alike
 	targets  map[string]*Target
+	peers    map[string]map[string]PeerLoad // by peer, then target
 	order    uint64
 	scratch  []*Target
 	skipped  []*Item
@@ -33,7 +34,7 @@
 
 // New returns a scheduler without targets.
 func New(p Policy) *Scheduler {
-	return &Scheduler{policy: p, services: map[string]*service{}, targets: map[string]*Target{}}
+	return &Scheduler{policy: p, services: map[string]*service{}, targets: map[string]*Target{}, peers: map[string]map[string]PeerLoad{}}
 }
 
 // MakesRoom is the policy's answer of that name.
@@ -264,14 +265,30 @@
 }
 
 // SetPeer replaces what a peer has under way; targets that are not in loads
-// count as idle for it.
+// count as idle for it. The cost follows the targets that the peer uses. The
+// scheduler keeps loads.
 func (s *Scheduler) SetPeer(peer string, loads map[string]PeerLoad) {
-	for name, t := range s.targets {
-		t.setPeer(peer, loads[name])
+	for name := range s.peers[peer] {
+		if _, still := loads[name]; !still {
+			s.setPeerAt(name, peer, PeerLoad{})
+		}
+	}
+	for name, load := range loads {
+		s.setPeerAt(name, peer, load)
+	}
+	s.peers[peer] = loads
+	if len(loads) == 0 {
+		delete(s.peers, peer)
 	}
 	s.WakeAll()
 }
 
+func (s *Scheduler) setPeerAt(name, peer string, load PeerLoad) {
+	if t, ok := s.targets[name]; ok {
+		t.setPeer(peer, load)
+	}
+}
+
 // Wake makes Next look at the service again.
 func (s *Scheduler) Wake(name string) {
 	if svc, ok := s.services[name]; ok {
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -39,9 +39,19 @@
 	if over <= 0 {
 		return 0
 	}
-	return t.mean * time.Duration(over) / time.Duration(t.Decl.Batch)
+	mean := t.mean
+	if !t.meanSeen {
+		mean = t.Decl.Decode*typicalOutput + t.Decl.Prefill*typicalPrompt
+	}
+	return mean * time.Duration(over) / time.Duration(t.Decl.Batch)
 }
 
+// A call's size, in tokens, before any was seen at a target.
+const (
+	typicalPrompt = 512
+	typicalOutput = 128
+)
+
 // Overflow is by how many tokens this host's programs would exceed their share
 // of the target's memory if add more tokens came to it. The share of a host
 // follows from what it and its peers keep there.
