--- a/core/host/outcome.go
+++ b/core/host/outcome.go
@@ -85,7 +85,7 @@
 	lost := outcome == TargetBroken
 	if lost {
 		f.lostAttempts++
-		if false {
+		if !f.accepted.Idempotent {
 			h.fail(f, failure.Unknown(failure.TargetFailed, "target %s: %s", f.target, detail))
 			return
 		}
