--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -352,6 +352,13 @@
 	case <-ctx.Done():
 		return failure.Wrap(ctx.Err(), failure.Draining, "drain")
 	}
+	if err := n.requests.wait(ctx); err != nil {
+		return err
+	}
+	n.flushOutboxes(ctx)
+	for _, s := range n.servers {
+		_ = s.Shutdown(ctx) // idle connections end; requests were waited for
+	}
 	n.Kill()
 	n.log.Info("stopped")
 	return nil
