always: orders are compared with what callers were told; crossed answers are whole

Cause: two proofs stayed green with their mechanism taken out. The load was not given the service to compare with, and the stand-in crossed the call ids but not the answers. Ruled out: the mechanisms themselves.

--- a/ctl/always/cluster_test.go
+++ b/ctl/always/cluster_test.go
@@ -270,6 +270,7 @@
 	return load.Plan{
 		Hosts: c.callerAddresses(), Kinds: []load.Kind{short, long, order}, Programs: programs, Parallel: 12, Seed: seed,
 		Patience: 10 * time.Minute, Client: c.client,
+		Orders: []string{"http://" + servicePlace + ":80"},
 	}
 }
 
--- a/ctl/standin/engine.go
+++ b/ctl/standin/engine.go
@@ -36,7 +36,8 @@
 	Freeze bool `json:"freeze"`
 	// SlowMS delays every answer.
 	SlowMS int64 `json:"slow_ms"`
-	// Cross gives each n-th answer the call id of the one before it.
+	// Cross sends each n-th call the answer, with its call id, of the one
+	// before it.
 	Cross int `json:"cross"`
 	// LoseOrders answers each n-th order (release) with an error after doing
 	// nothing.
@@ -74,10 +75,12 @@
 	fences  map[string]uint64
 	calls   []EngineCall
 	lastID  string
-	counted map[string]int // for the "each n-th" switches
-	load    []loadAt
-	hits    int64
-	misses  int64
+	// lastPieces is the answer that went with lastID.
+	lastPieces []string
+	counted    map[string]int // for the "each n-th" switches
+	load       []loadAt
+	hits       int64
+	misses     int64
 }
 
 type loadAt struct {
@@ -288,10 +291,11 @@
 	e.mu.Lock()
 	breaks := e.each("break", e.faults.Break)
 	slow := time.Duration(e.faults.SlowMS) * time.Millisecond
+	pieces := answerPieces(c.Messages, output)
 	if e.each("cross", e.faults.Cross) && e.lastID != "" {
-		id, e.lastID = e.lastID, id
+		id, pieces, e.lastID, e.lastPieces = e.lastID, e.lastPieces, id, pieces
 	} else {
-		e.lastID = id
+		e.lastID, e.lastPieces = id, pieces
 	}
 	e.mu.Unlock()
 	if !pause(r.Context(), slow+e.cfg.Prefill*time.Duration(prompt-cached)) {
@@ -299,7 +303,7 @@
 	}
 	out := json.NewEncoder(&sse{w})
 	w.Header().Set("Content-Type", "text/event-stream")
-	for i, piece := range answerPieces(c.Messages, output) {
+	for i, piece := range pieces {
 		if breaks && i > 0 {
 			panic(http.ErrAbortHandler)
 		}
