--- a/core/host/outcome.go
+++ b/core/host/outcome.go
@@ -19,7 +19,7 @@
 		return
 	}
 	f := p.active
-	if ev.Outcome == TargetAnswered && false && ev.Echo != ev.Call.ID() {
+	if ev.Outcome == TargetAnswered && ev.Echo != "" && ev.Echo != ev.Call.ID() {
 		h.stats.Crossed++
 		h.note(Note{Kind: NoteAnswerCrossed, Program: p.id, Call: ev.Call.Sequence, Target: ev.Target})
 		ev = &TargetDone{Call: ev.Call, Target: ev.Target, Outcome: TargetBroken, Detail: "the answer belongs to another call"}
