--- a/core/host/outcome.go
+++ b/core/host/outcome.go
@@ -86,8 +86,7 @@
 	if lost {
 		f.lostAttempts++
 		if !f.accepted.Idempotent {
-			f.lostAttempts = 0
-			h.fail(f, failure.New(failure.TargetFailed, "target %s: %s", f.target, detail))
+			h.fail(f, failure.Unknown(failure.TargetFailed, "target %s: %s", f.target, detail))
 			return
 		}
 	}
