sched: a target's own list corrects what it is thought to keep

Cause: an engine's eviction went unseen, so estimates grew past its memory (183590 tokens believed, 111557 kept) and calls went back to targets that had forgotten them. The lists are read once a second; sticky_fcfs keeps to the last target as before.

--- a/core/host/call.go
+++ b/core/host/call.go
@@ -116,6 +116,9 @@
 		return nil, failure.Retry(failure.Suspended, suspendedRetry, "this host cannot tell whether it still owns the program")
 	}
 	p := h.programs[id]
+	if p == nil && own.damaged {
+		return nil, failure.Unknown(failure.Corrupt, "part of the journal that may have held the program is damaged")
+	}
 	if p == nil || p.caller != caller {
 		return nil, failure.New(failure.UnknownProgram, "no program %s", id)
 	}
@@ -382,7 +385,7 @@
 		Program: p.id, Sequence: f.accepted.Sequence, Service: f.accepted.Service,
 		Priority: f.then.Priority, Objective: objective,
 		Attained: p.spent, Prompt: f.accepted.PromptTokens, History: p.history, Output: f.accepted.MaxTokens,
-		Arrived: f.arrived, Begun: p.begun, NotBefore: f.item.NotBefore, Holder: holder, HolderTokens: held, Avoid: f.item.Avoid,
+		Arrived: f.arrived, Begun: p.begun, NotBefore: f.item.NotBefore, Holder: holder, HolderTokens: held, Last: p.lastTarget(), Avoid: f.item.Avoid,
 	}
 	if !h.sched.Enqueue(&f.item, retry) {
 		h.fail(f, failure.Retry(failure.Overloaded, overloadedRetry, "no room in the queue of %s", f.accepted.Service))
@@ -393,6 +396,13 @@
 	}
 }
 
+func (p *program) lastTarget() string {
+	if n := len(p.turns); n > 0 {
+		return p.turns[n-1].target
+	}
+	return ""
+}
+
 func (p *program) bestHolder() (string, int64) {
 	var best holder
 	for _, x := range p.holders {
--- a/core/host/memory.go
+++ b/core/host/memory.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/pistachioarch/pistachioarch/core/ident"
 	"github.com/pistachioarch/pistachioarch/core/sched"
 )
 
@@ -103,3 +104,25 @@
 	}
 	h.holdersAt[x.target][p] = struct{}{}
 }
+
+// reportLag is how old a target's list of what it keeps may be.
+const reportLag = time.Second
+
+// forgetEvicted takes off the estimate what a target does not keep any more. A
+// program that was there within reportLag may be too new for the list.
+func (h *Host) forgetEvicted(ev *TargetReport) {
+	kept := make(map[ident.Program]bool, len(ev.Holds))
+	for _, id := range ev.Holds {
+		kept[id] = true
+	}
+	for p := range h.holdersAt[ev.Target] {
+		if kept[p.id] || p.active != nil || h.now-p.usedAt < reportLag {
+			continue
+		}
+		for i := range p.holders {
+			if x := &p.holders[i]; x.target == ev.Target {
+				h.setHeld(p, x, 0)
+			}
+		}
+	}
+}
--- a/core/host/release.go
+++ b/core/host/release.go
@@ -94,8 +94,9 @@
 	}
 }
 
-// targetReport takes a target's own account. The sweep: what it keeps for a
-// program of this member that has ended, or that nobody knows, is released.
+// targetReport takes a target's own account. Estimates of what it keeps are
+// corrected by it. The sweep: what it keeps for a program of this member that has
+// ended, or that nobody knows, is released.
 func (h *Host) targetReport(ev *TargetReport) {
 	t, ok := h.sched.Target(ev.Target)
 	if !ok {
@@ -105,6 +106,9 @@
 	if !h.mayServe() {
 		return
 	}
+	if ev.Holds != nil {
+		h.forgetEvicted(ev)
+	}
 	for _, id := range ev.Holds {
 		slot, err := id.Slot()
 		if err != nil {
--- a/core/host/slots.go
+++ b/core/host/slots.go
@@ -86,6 +86,8 @@
 	to string
 	// programs are those of the slot.
 	programs map[ident.Program]*program
+	// damaged says that records of the slot may be missing.
+	damaged bool
 	// busy counts its programs with a call under way.
 	busy int
 	// lastLSN is the last record written for the slot.
--- a/core/host/takeover.go
+++ b/core/host/takeover.go
@@ -365,7 +365,7 @@
 	}
 	for _, n := range slices.Sorted(maps.Keys(r.slots)) {
 		own := r.slots[n]
-		own.state = slotServing
+		own.state, own.damaged = slotServing, f.keepStreams
 		h.carryForward(own, f.keepStreams)
 	}
 	h.note(Note{Kind: NoteSlotsServing, Detail: strconv.Itoa(len(r.slots)) + " slots"})
--- a/core/sched/policy.go
+++ b/core/sched/policy.go
@@ -87,7 +87,7 @@
 func (stickyFCFS) Key(it *Item) float64 { return fcfs(it) }
 func (stickyFCFS) Choose(it *Item, candidates []*Target) *Target {
 	for _, t := range candidates {
-		if t.Decl.Name == it.Holder {
+		if t.Decl.Name == it.Last {
 			return t
 		}
 	}
@@ -120,7 +120,7 @@
 		PriorityStep:     2 * time.Second,
 		LatencyRecompute: 16,
 		CacheRecompute:   64,
-		Ahead:            2,
+		Ahead:            4,
 	}
 }
 
--- a/ctl/always/cluster_test.go
+++ b/ctl/always/cluster_test.go
@@ -164,11 +164,6 @@
 	c.net.crash(m.place)
 }
 
-func (c *cluster) restart(name string) {
-	c.kill(name)
-	c.start(name)
-}
-
 // stop ends a host in good order, in the background.
 func (c *cluster) stop(name string) {
 	m := c.members[name]
--- a/ctl/always/network_test.go
+++ b/ctl/always/network_test.go
@@ -5,7 +5,6 @@
 	"net"
 	"sync"
 	"syscall"
-	"time"
 )
 
 // network is an in-memory network of hosts with addresses "IP:port", which can
@@ -17,7 +16,6 @@
 	blocked   map[[2]string]bool // pairs of places that are cut off from each other
 	frozen    map[string]bool    // places whose traffic stalls
 	changed   chan struct{}      // closed and replaced at each change
-	delay     func(from, to string) time.Duration
 }
 
 func newNetwork() *network {
--- a/ctl/replay/recovery_test.go
+++ b/ctl/replay/recovery_test.go
@@ -70,3 +70,31 @@
 	require.Equal(t, 20*160, r.Answered)
 	require.Less(t, r.Latency.Max, 2*r.Latency.P50, "nobody waited for the platform")
 }
+
+// TestDamagedJournalIsNeverServed damages every segment of a host and kills it:
+// its programs are reported as corrupt, and none is answered from what is left.
+func TestDamagedJournalIsNeverServed(t *testing.T) {
+	w, err := newWorld(recoveryTrace(t, 8, 20, 200, ""), sched.PolicyDefault, 1, host.Config{})
+	require.NoError(t, err)
+	for w.now < settleBefore+2*time.Second {
+		require.True(t, w.step())
+	}
+	damaged := 0
+	for key, o := range w.platform.all {
+		if strings.HasPrefix(key, "journal/a/h2.") {
+			o.body = append([]byte(nil), o.body...)
+			o.body[len(o.body)/2] ^= 0xff
+			damaged++
+		}
+	}
+	require.Positive(t, damaged)
+	w.hostDies(w.byName["h2"])
+	for w.callers.left > 0 && w.now < maxReplay && w.step() {
+	}
+	require.Zero(t, w.result.Violations, "%v", w.result.ViolationTexts)
+	require.Positive(t, w.audit.notes[host.NoteCorrupt], "it is reported")
+	require.Positive(t, w.result.Unknown, "its programs end with a typed error")
+	for _, text := range w.result.FailureTexts {
+		require.Contains(t, text, "corrupt")
+	}
+}
--- a/ctl/replay/world.go
+++ b/ctl/replay/world.go
@@ -15,8 +15,7 @@
 // Pacing of a replay.
 const (
 	tickEvery     = 50 * time.Millisecond
-	reportEvery   = 500 * time.Millisecond
-	sweepEvery    = 30 * time.Second
+	reportEvery   = time.Second
 	platformDelay = 2 * time.Millisecond
 	nearDelay     = 100 * time.Microsecond // inside a data centre
 	settleBefore  = 6 * time.Second        // the hosts join before the trace begins
@@ -78,7 +77,6 @@
 	}
 	w.callers = newCallers(w)
 	w.after(reportEvery, w.report)
-	w.after(sweepEvery, w.sweep)
 	return w, nil
 }
 
@@ -277,21 +275,8 @@
 	})
 }
 
-// report gives every host the lagging loads.
+// report gives every host the lagging loads and the lists of what is kept.
 func (w *world) report() {
-	for _, name := range w.engineNames() {
-		t := w.engines[name]
-		for _, e := range w.hosts {
-			if t.alive && !t.frozen && !w.apart(e.dc, t.header.DataCentre) {
-				e.step(&host.TargetReport{Target: name, Queued: t.report()})
-			}
-		}
-	}
-	w.after(reportEvery, w.report)
-}
-
-// sweep gives every host the lists of what engines keep.
-func (w *world) sweep() {
 	for _, name := range w.engineNames() {
 		t := w.engines[name]
 		for _, e := range w.hosts {
@@ -300,7 +285,7 @@
 			}
 		}
 	}
-	w.after(sweepEvery, w.sweep)
+	w.after(reportEvery, w.report)
 }
 
 func (w *world) engineNames() []string {
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -164,7 +164,7 @@
 	s.ClientWriteTimeout = r.duration("limits", "client_write", 10*time.Second, time.Millisecond)
 	s.ForwardPatience = r.duration("limits", "forward_patience", 20*time.Second, time.Millisecond)
 	s.ReportEvery = r.duration("limits", "report_every", time.Second, 10*time.Millisecond)
-	s.SweepEvery = r.duration("limits", "sweep_every", 30*time.Second, 10*time.Millisecond)
+	s.SweepEvery = r.duration("limits", "sweep_every", time.Second, 10*time.Millisecond)
 }
 
 func (r *reader) fault(section, key, format string, args ...any) {
