core: long histories are carried forward in parts; records fit objects

A recovery without a declaration would have failed on its calls. Ruled out: larger segments (the platform has 1 MiB), references to old segments (an index of its own). Now: parts of 128 KiB that count only when all are there; bodies at most 512 KiB, answers 256 KiB, tail frames about 1 MiB.

--- /dev/null
+++ b/core/host/claim.go
@@ -0,0 +1,164 @@
+package host
+
+import (
+	"time"
+)
+
+// aliveLocal counts the members of the data centre that may own slots.
+func (h *Host) aliveLocal() int {
+	n := 0
+	if !h.draining {
+		n++
+	}
+	for _, p := range h.members.list {
+		if h.local(p) && h.hears(p) && !p.draining {
+			n++
+		}
+	}
+	return n
+}
+
+// settleFor is how long a new member waits before it claims more than its
+// share of unowned slots, so that members that start together share them.
+const settleFor = 3 * time.Second
+
+// claimUnowned claims slots without an owner: those of the own data centre, up
+// to a fair share at first, and those of another that has no member left.
+func (h *Host) claimUnowned(t *slotTable) bool {
+	if h.draining {
+		return false
+	}
+	room := len(t.Slots)
+	if t.DataCentre == h.cfg.DataCentre {
+		room = h.unownedShare(t)
+	} else if !h.centreDead(t.DataCentre) {
+		return false
+	}
+	return h.claim(t, room, func(e *SlotEntry) bool { return e.Owner == "" })
+}
+
+func (h *Host) unownedShare(t *slotTable) int {
+	if h.slots.claimAt == 0 {
+		h.slots.claimAt = h.now + settleFor
+	}
+	if h.now >= h.slots.claimAt {
+		return len(t.Slots)
+	}
+	members := max(1, h.aliveLocal())
+	return (len(t.Slots)+members-1)/members - len(h.mineIn(t.DataCentre))
+}
+
+// centreDead reports whether every member of another data centre is revoked.
+// That takes the data centre's lease, which those who revoked them waited out.
+func (h *Host) centreDead(dc string) bool {
+	found := false
+	for _, p := range h.members.list {
+		if p.dataCentre != dc {
+			continue
+		}
+		found = true
+		if !p.revoked || h.now-p.revokedAt < centreDeadFor {
+			return false
+		}
+	}
+	return found
+}
+
+// centreDeadFor is how long all members of a data centre must have been revoked
+// before others claim its slots: a restarted host takes its own back sooner.
+const centreDeadFor = 30 * time.Second
+
+// removeAfter is how long what a revoked member left at the platform stays at
+// least. By then every slot table that could still name its stream is known.
+const removeAfter = time.Minute
+
+// claimDead claims the slots of a member whose lease is revoked. Its own data
+// centre does it, or any other once that one is dead. Every peer tries; the
+// conditional update lets one win.
+func (h *Host) claimDead(p *peer) {
+	if !h.holdsLease() || h.draining || h.slots.busy || h.now < p.checkAt || h.ownTable() == nil {
+		return
+	}
+	p.checkAt = h.now + leaseCheckEvery
+	if !h.local(p) && !h.centreDead(p.dataCentre) {
+		return
+	}
+	for _, dc := range sortedKeys(h.slots.tables) {
+		t := h.slots.tables[dc]
+		if h.claim(t, len(t.Slots), func(e *SlotEntry) bool { return e.Owner == p.name }) {
+			h.stats.Takeovers++
+			h.note(Note{Kind: NoteTakeover, Member: p.name, Detail: "slots claimed"})
+			return
+		}
+	}
+	if h.now-p.revokedAt >= removeAfter && h.slots.tables[p.dataCentre] != nil && !h.streamNeeded(p.name) {
+		h.removeMember(p)
+	}
+}
+
+func (h *Host) claim(t *slotTable, room int, want func(*SlotEntry) bool) bool {
+	any := false
+	for i := range t.Slots {
+		any = any || want(&t.Slots[i])
+	}
+	if !any || room <= 0 {
+		return false
+	}
+	h.updateTable(t, func(next *SlotTable) {
+		for i := range next.Slots {
+			e := &next.Slots[i]
+			if room <= 0 || !want(e) {
+				continue
+			}
+			room--
+			if e.Owner != "" {
+				e.Streams[e.Owner] = 0 // to be read to its end, and sealed
+			}
+			e.assign(h.self)
+		}
+	}, nil)
+	return true
+}
+
+func (h *Host) ownsSlots(p *peer) bool {
+	for _, t := range h.slots.tables {
+		for _, e := range t.Slots {
+			if e.Owner == p.name {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// streamNeeded reports whether a slot needs the stream.
+func (h *Host) streamNeeded(stream string) bool {
+	for _, t := range h.slots.tables {
+		for _, e := range t.Slots {
+			if _, ok := e.Streams[stream]; ok {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// removeMember deletes what a dead member left at the platform, once nobody
+// needs it. Its lease goes last, so that the work is found again if this
+// member dies meanwhile.
+func (h *Host) removeMember(p *peer) {
+	h.do(PlatformOp{Kind: OpKeys, Key: journalPrefix(p.name)}, func(r *PlatformReply) {
+		if r.Status != OpOK {
+			return
+		}
+		for _, o := range r.Objects {
+			h.do(PlatformOp{Kind: OpDelete, Key: o.Key}, ignoreReply)
+		}
+		if len(r.Objects) == 0 {
+			h.do(PlatformOp{Kind: OpDelete, Key: LeaseKey(p.name)}, ignoreReply)
+			h.members.remove(p)
+		}
+	})
+}
+
+func ignoreReply(*PlatformReply) {}
--- a/core/host/fold.go
+++ b/core/host/fold.go
@@ -35,6 +35,10 @@
 	// snapshot.
 	base foldRecord
 	open *openCall
+	// partial is a newer statement of the program of which parts are missing
+	// yet. If they never come, what was known before still holds.
+	partial *foldProgram
+	missing int // turns of partial
 }
 
 // openCall is a call that was accepted and has no outcome.
@@ -111,14 +115,17 @@
 	if fp == nil {
 		fp = &foldProgram{p: newProgram(id, own, h.now)}
 		found[id] = fp
-		fp.p.corrupt = r.GetCreated() == nil && r.GetSnapshot() == nil
+		fp.p.corrupt = r.GetCreated() == nil // until a snapshot is whole
 	}
 	switch m := r.Body.(type) {
 	case *peerpb.Record_Created:
 		fp.base = r
 		fp.p.created(m.Created, h.now)
 	case *peerpb.Record_Snapshot:
-		fp.restore(h, own, m.Snapshot, r)
+		fp.partial = newPartial(h, own, id, m.Snapshot, r)
+		fp.addTurns(m.Snapshot.Turns)
+	case *peerpb.Record_Part:
+		fp.addTurns(m.Part.Turns)
 	case *peerpb.Record_Accepted:
 		fp.open = &openCall{accepted: m.Accepted}
 	case *peerpb.Record_Intent:
@@ -138,25 +145,38 @@
 	}
 }
 
-func (fp *foldProgram) restore(h *Host, own *ownedSlot, s *peerpb.ProgramSnapshot, r foldRecord) {
-	fp.p = newProgram(fp.p.id, own, h.now)
-	fp.base, fp.open = r, nil
-	fp.p.created(s.Created, h.now)
-	fp.p.spent = s.SpentTokens
-	for _, t := range s.Turns {
-		fp.open = &openCall{accepted: t.Accepted}
+// newPartial begins a program as a snapshot states it, without its turns.
+func newPartial(h *Host, own *ownedSlot, id ident.Program, s *peerpb.ProgramSnapshot, r foldRecord) *foldProgram {
+	next := &foldProgram{p: newProgram(id, own, h.now), base: r, missing: int(s.TurnCount)}
+	next.p.created(s.Created, h.now)
+	next.p.spent = s.SpentTokens
+	for _, target := range s.Holders {
+		next.p.hold(target, 0)
+	}
+	if s.Ended != "" {
+		next.p.ended, next.p.reason, next.p.endedAt = true, s.Ended, h.now
+	}
+	return next
+}
+
+// addTurns adds turns to the snapshot under way; the last makes it count.
+func (fp *foldProgram) addTurns(turns []*peerpb.Turn) {
+	next := fp.partial
+	if next == nil {
+		return
+	}
+	for _, t := range turns {
+		next.open = &openCall{accepted: t.Accepted}
 		if t.Intent != nil {
-			fp.open.intents = int(t.Intent.Attempt)
+			next.open.intents = int(t.Intent.Attempt)
 		}
 		if t.Finished != nil {
-			fp.finish(t.Finished) // SpentTokens holds its charge already
+			next.finish(t.Finished) // its charge is in the snapshot's sum
 		}
+		next.missing--
 	}
-	for _, target := range s.Holders {
-		fp.p.hold(target, 0)
-	}
-	if s.Ended != "" {
-		fp.p.ended, fp.p.reason, fp.p.endedAt = true, s.Ended, h.now
+	if next.missing <= 0 {
+		*fp = *next
 	}
 }
 
--- a/core/host/log.go
+++ b/core/host/log.go
@@ -63,6 +63,7 @@
 
 const (
 	tailResendAfter = 500 * time.Millisecond
+	tailFrameBytes  = 1 << 20 // of one message to the tail peer
 	tailKeepSealed  = 10 * time.Minute
 	// failureWait is how long a failure waits for its record to be durable
 	// before it is told as "ran: unknown".
@@ -225,11 +226,11 @@
 	if p == nil || h.log.tailSent >= w.Last() || h.ready.Lost {
 		return
 	}
-	records := w.Since(h.log.tailSent)
-	h.log.tailSent = w.Last()
+	records := w.Since(h.log.tailSent, tailFrameBytes)
 	if len(records) == 0 {
 		return
 	}
+	h.log.tailSent = records[len(records)-1].Lsn
 	h.log.tailSentAt = h.now
 	h.send(p.address, &peerpb.Frame{Body: &peerpb.Frame_TailAppend{TailAppend: &peerpb.TailAppend{
 		Stream: h.self, Records: records, Durable: w.Durable(),
--- a/core/host/program.go
+++ b/core/host/program.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/core/ident"
 	"github.com/pistachioarch/pistachioarch/core/peerpb"
@@ -259,18 +261,45 @@
 	if p.ended {
 		s.Ended = p.reason
 	}
+	turns := p.snapshotTurns()
+	s.TurnCount = uint32(len(turns))
+	s.Turns, turns = cutTurns(turns)
+	p.firstSegment = h.log.writer.Next()
+	h.append(p, &peerpb.Record{Body: &peerpb.Record_Snapshot{Snapshot: s}})
+	for len(turns) > 0 {
+		part := &peerpb.SnapshotPart{}
+		part.Turns, turns = cutTurns(turns)
+		h.append(p, &peerpb.Record{Body: &peerpb.Record_Part{Part: part}})
+	}
+}
+
+func (p *program) snapshotTurns() []*peerpb.Turn {
+	turns := make([]*peerpb.Turn, 0, len(p.turns)+1)
 	for _, t := range p.turns {
-		s.Turns = append(s.Turns, &peerpb.Turn{Accepted: t.accepted, Finished: t.finished()})
+		turns = append(turns, &peerpb.Turn{Accepted: t.accepted, Finished: t.finished()})
 	}
 	if f := p.active; f != nil {
 		t := &peerpb.Turn{Accepted: f.accepted, Finished: f.finished}
 		if f.finished == nil {
 			t.Intent = &peerpb.CallIntent{Sequence: f.accepted.Sequence, Target: f.target, Attempt: f.attempt}
 		}
-		s.Turns = append(s.Turns, t)
+		turns = append(turns, t)
 	}
-	p.firstSegment = h.log.writer.Next()
-	h.append(p, &peerpb.Record{Body: &peerpb.Record_Snapshot{Snapshot: s}})
+	return turns
+}
+
+// snapshotPartBytes is the size from which a snapshot goes on in another record,
+// so that each fits into a segment: an object has at most 1 MiB.
+const snapshotPartBytes = 128 << 10
+
+// cutTurns takes as many turns as one record should hold, at least one.
+func cutTurns(turns []*peerpb.Turn) (first, rest []*peerpb.Turn) {
+	size, n := 0, 0
+	for n < len(turns) && (n == 0 || size < snapshotPartBytes) {
+		size += proto.Size(turns[n])
+		n++
+	}
+	return turns[:n], turns[n:]
 }
 
 func (p *program) createdRecord(now time.Duration) *peerpb.ProgramCreated {
--- a/core/host/takeover.go
+++ b/core/host/takeover.go
@@ -114,10 +114,19 @@
 			return
 		}
 	}
+	if h.set() == nil && r.found() {
+		r.retryAt = h.now + recoveryRetry // calls cannot go on without a declaration
+		return
+	}
 	h.slots.recoveries = slices.DeleteFunc(h.slots.recoveries, func(x *recovery) bool { return x == r })
 	h.finishRecovery(r)
 }
 
+// found reports whether any record was read.
+func (r *recovery) found() bool {
+	return slices.ContainsFunc(r.streams, func(s *streamReader) bool { return len(s.records) > 0 })
+}
+
 // step wraps the answer to an operation of the current attempt. A handler
 // returns whether to go on at once; otherwise the step is tried again later.
 func (h *Host) step(r *recovery, handle func(*PlatformReply) bool) func(*PlatformReply) {
--- a/core/journal/journal.go
+++ b/core/journal/journal.go
@@ -128,12 +128,19 @@
 // TotalBytes is the size of all that was written.
 func (w *Writer) TotalBytes() int64 { return w.total }
 
-// Since returns the records after lsn that are not yet at the platform.
-func (w *Writer) Since(lsn uint64) []*peerpb.Record {
-	if lsn <= w.durable {
-		return w.pending
+// Since returns the records after lsn that are not yet at the platform, as many
+// as maxBytes hold and at least one if there is any.
+func (w *Writer) Since(lsn uint64, maxBytes int) []*peerpb.Record {
+	from := uint64(0)
+	if lsn > w.durable {
+		from = min(uint64(len(w.pending)), lsn-w.durable)
 	}
-	return w.pending[min(uint64(len(w.pending)), lsn-w.durable):]
+	size, to := 0, from
+	for to < uint64(len(w.pending)) && (to == from || size+w.sizes[to] <= maxBytes) {
+		size += w.sizes[to]
+		to++
+	}
+	return w.pending[from:to]
 }
 
 // Begin starts the next segment with as many records as fit. ok is false when
--- a/core/journal/journal_test.go
+++ b/core/journal/journal_test.go
@@ -33,9 +33,10 @@
 	assert.EqualValues(t, 1, number, "the same number until it is written")
 	w.Done(true, len(body))
 	assert.EqualValues(t, 3, w.Durable())
-	assert.Len(t, w.Since(0), 7)
-	assert.Len(t, w.Since(8), 2)
-	assert.EqualValues(t, 4, w.Since(0)[0].Lsn)
+	assert.Len(t, w.Since(0, 1<<20), 7)
+	assert.Len(t, w.Since(8, 1<<20), 2)
+	assert.Len(t, w.Since(8, 1), 1)
+	assert.EqualValues(t, 4, w.Since(0, 1<<20)[0].Lsn)
 }
 
 func TestWriterTakesARecordLargerThanASegment(t *testing.T) {
--- a/ctl/standin/engine.go
+++ b/ctl/standin/engine.go
@@ -111,6 +111,12 @@
 	e.faults = f
 }
 
+func (e *Engine) currentFaults() EngineFaults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults
+}
+
 // Calls returns what the engine has started, in order.
 func (e *Engine) Calls() []EngineCall {
 	e.mu.Lock()
@@ -150,22 +156,13 @@
 	})
 	mux.HandleFunc("GET /v1/calls", func(w http.ResponseWriter, _ *http.Request) { reply(w, e.Calls()) })
 	mux.HandleFunc("DELETE /v1/cache/{program}", e.release)
-	handleFaults(mux, func() any { e.mu.Lock(); defer e.mu.Unlock(); return e.faults }, func(body []byte) error {
-		var f EngineFaults
-		if err := json.Unmarshal(body, &f); err != nil {
-			return err
-		}
-		e.SetFaults(f)
-		return nil
-	})
+	handleFaults(mux, e.currentFaults, e.SetFaults)
 	return mux
 }
 
 // frozen lets a request hang until its client gives up.
 func (e *Engine) frozen(r *http.Request) bool {
-	e.mu.Lock()
-	f := e.faults.Freeze
-	e.mu.Unlock()
+	f := e.currentFaults().Freeze
 	if f {
 		<-r.Context().Done()
 	}
--- a/ctl/standin/platform.go
+++ b/ctl/standin/platform.go
@@ -87,6 +87,12 @@
 	p.faults = f
 }
 
+func (p *Platform) currentFaults() PlatformFaults {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faults
+}
+
 // Counts returns the calls so far.
 func (p *Platform) Counts() PlatformCounts {
 	p.mu.Lock()
@@ -143,23 +149,14 @@
 	mux.HandleFunc("GET /v1/list", p.guard(p.list))
 	mux.HandleFunc("GET /v1/watch", p.guard(p.watch))
 	mux.HandleFunc("GET /v1/counts", func(w http.ResponseWriter, _ *http.Request) { reply(w, p.Counts()) })
-	handleFaults(mux, func() any { p.mu.Lock(); defer p.mu.Unlock(); return p.faults }, func(body []byte) error {
-		var f PlatformFaults
-		if err := json.Unmarshal(body, &f); err != nil {
-			return err
-		}
-		p.SetFaults(f)
-		return nil
-	})
+	handleFaults(mux, p.currentFaults, p.SetFaults)
 	return mux
 }
 
 // guard applies the faults that concern every request.
 func (p *Platform) guard(serve http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		p.mu.Lock()
-		f := p.faults
-		p.mu.Unlock()
+		f := p.currentFaults()
 		if f.SlowMS > 0 && !pause(r.Context(), time.Duration(f.SlowMS)*time.Millisecond) {
 			return
 		}
@@ -357,17 +354,17 @@
 }
 
 // handleFaults adds the switches to a stand-in.
-func handleFaults(mux *http.ServeMux, get func() any, set func(body []byte) error) {
+func handleFaults[F any](mux *http.ServeMux, get func() F, set func(F)) {
 	mux.HandleFunc("GET /faults", func(w http.ResponseWriter, _ *http.Request) { reply(w, get()) })
 	mux.HandleFunc("PUT /faults", func(w http.ResponseWriter, r *http.Request) {
-		body, err := io.ReadAll(r.Body)
-		if err == nil {
-			err = set(body)
-		}
-		if err != nil {
+		var f F
+		d := json.NewDecoder(r.Body)
+		d.DisallowUnknownFields()
+		if err := d.Decode(&f); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
+		set(f)
 		reply(w, get())
 	})
 }
--- a/ctl/standin/service.go
+++ b/ctl/standin/service.go
@@ -48,6 +48,12 @@
 	s.faults = f
 }
 
+func (s *Service) currentFaults() ServiceFaults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
 // Orders returns what was executed, in order.
 func (s *Service) Orders() []Order {
 	s.mu.Lock()
@@ -60,14 +66,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /", s.execute)
 	mux.HandleFunc("GET /v1/orders", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Orders()) })
-	handleFaults(mux, func() any { s.mu.Lock(); defer s.mu.Unlock(); return s.faults }, func(body []byte) error {
-		var f ServiceFaults
-		if err := json.Unmarshal(body, &f); err != nil {
-			return err
-		}
-		s.SetFaults(f)
-		return nil
-	})
+	handleFaults(mux, s.currentFaults, s.SetFaults)
 	return mux
 }
 
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -157,10 +157,13 @@
 	}
 }
 
+// maxBodyBytes lets the record of a call fit into one object of the platform.
+const maxBodyBytes = 512 << 10
+
 func (r *reader) limits(s *Settings) {
-	s.MaxBodyBytes = r.integer("limits", "body_bytes", 4<<20, 1024, 1<<30)
+	s.MaxBodyBytes = r.integer("limits", "body_bytes", 512<<10, 1024, maxBodyBytes)
 	s.Host.MaxPrograms = int(r.integer("limits", "programs", int64(s.Host.MaxPrograms), 1, 1<<24))
-	s.Host.MaxTailBytes = int(r.integer("limits", "tail_bytes", int64(s.Host.MaxTailBytes), 1<<16, 1<<30))
+	s.Host.MaxTailBytes = int(r.integer("limits", "tail_bytes", int64(s.Host.MaxTailBytes), 1<<16, 24<<20))
 	s.ClientWriteTimeout = r.duration("limits", "client_write", 10*time.Second, time.Millisecond)
 	s.ForwardPatience = r.duration("limits", "forward_patience", 20*time.Second, time.Millisecond)
 	s.ReportEvery = r.duration("limits", "report_every", time.Second, 10*time.Millisecond)
--- a/wire/frame/frame.go
+++ b/wire/frame/frame.go
@@ -12,7 +12,7 @@
 )
 
 // MaxBytes bounds one message. A longer one is refused before it is read.
-const MaxBytes = 16 << 20
+const MaxBytes = 32 << 20
 
 const headerBytes = 4
 
--- a/wire/target/target.go
+++ b/wire/target/target.go
@@ -42,7 +42,8 @@
 
 // maxAnswerBytes bounds an answer, maxLineBytes a line of its stream.
 const (
-	maxAnswerBytes = 8 << 20
+	maxAnswerBytes = 256 << 10 // so that its record fits into an object of the platform
+	maxStreamBytes = 8 << 20   // of an answer with its framing, and of a report
 	maxLineBytes   = 1 << 20
 )
 
@@ -123,7 +124,10 @@
 		readCompletion(resp.Body, done, onChunk)
 		return done
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = failure.New(failure.TooLarge, "an answer has at most %d bytes", maxAnswerBytes)
+	}
 	if err != nil {
 		done.Outcome, done.Detail = host.TargetBroken, err.Error()
 		return done
@@ -203,7 +207,7 @@
 // readCompletion reads the event stream. An answer is whole only if its last
 // chunk with the usage and the end mark came.
 func readCompletion(r io.Reader, done *host.TargetDone, onChunk func(string)) {
-	scan := bufio.NewScanner(io.LimitReader(r, maxAnswerBytes))
+	scan := bufio.NewScanner(io.LimitReader(r, maxStreamBytes))
 	scan.Buffer(nil, maxLineBytes)
 	var text strings.Builder
 	whole := false
@@ -225,6 +229,10 @@
 		}
 		done.Echo = chunk.ID
 		for _, d := range chunk.Choices {
+			if text.Len()+len(d.Delta.Content) > maxAnswerBytes {
+				done.Outcome, done.Detail = host.TargetBroken, "the answer is too large"
+				return
+			}
 			if d.Delta.Content != "" {
 				text.WriteString(d.Delta.Content)
 				onChunk(d.Delta.Content)
@@ -271,5 +279,5 @@
 	if resp.StatusCode != http.StatusOK {
 		return failure.New(failure.TargetFailed, "report of %s: %s", t.Name, resp.Status)
 	}
-	return failure.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(out), failure.TargetFailed, "report of %s", t.Name)
+	return failure.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxStreamBytes)).Decode(out), failure.TargetFailed, "report of %s", t.Name)
 }
