--- a/ctl/capacity/capacity_test.go
+++ b/ctl/capacity/capacity_test.go
@@ -28,6 +28,8 @@
 	replies []host.Reply
 	sends   []host.Send
 	bytes   int // of messages to peers
+	steps   int
+	spent   time.Duration // in Step
 }
 
 const peerName = "z/peer.1"
@@ -63,7 +65,10 @@
 
 // step gives an event and answers what the host asks for.
 func (x *bed) step(ev host.Event) {
+	begun := time.Now()
 	x.h.Step(x.now, ev)
+	x.spent += time.Since(begun)
+	x.steps++
 	rd := x.h.Ready()
 	ops := append([]host.PlatformOp(nil), rd.Ops...)
 	messages := append([]host.PeerMessage(nil), rd.Messages...)
@@ -160,6 +165,7 @@
 	prompt := []byte(`[{"role":"user","content":"where do we dig"}]`)
 	id, sequence := x.create(1), uint32(0)
 	b.ReportAllocs()
+	x.steps, x.spent = 0, 0
 	for b.Loop() {
 		if sequence == 16 {
 			x.step(&host.EndProgram{Waiter: 2, Caller: "c", Program: id})
@@ -171,6 +177,8 @@
 		x.step(&host.TargetDone{Call: x.sends[0].Call, Target: x.sends[0].Target.Name, Answer: prompt, Usage: host.Usage{Prompt: 10, Output: 10}})
 		sequence++
 	}
+	b.ReportMetric(float64(x.spent.Nanoseconds())/float64(x.steps), "ns/step")
+	b.ReportMetric(float64(x.spent.Nanoseconds())/float64(b.N), "core-ns/call")
 }
 
 // BenchmarkIdleProgram reports the resident bytes of a program without turns.
@@ -260,6 +268,11 @@
 				}
 			}
 			b.ReportMetric(float64(len(text)), "bytes")
+			before := heap()
+			set, err := decl.Parse("f", text)
+			require.NoError(b, err)
+			b.ReportMetric(float64(heap()-before), "heap-bytes")
+			runtime.KeepAlive(set)
 		})
 	}
 }
