--- a/ctl/command/standin.go
+++ b/ctl/command/standin.go
@@ -15,7 +15,7 @@
 
 // addStandins adds "standin platform|engine|service".
 func (a *app) addStandins(p *flags.Parser) error {
-	c, err := p.AddCommand("standin", "Run a stand-in", "Runs a stand-in of something that pistachioarch meets, until it is interrupted. Faults are switched while it runs: GET and PUT /faults.\n\nExample: pistachioctl standin engine --listen 127.0.0.1:9001", &struct{}{})
+	c, err := p.AddCommand("standin", "Run a stand-in", "Runs a stand-in of something that pistachioarch meets, until it is interrupted. Faults are switched while it runs: GET and PUT /faults; PUT /faults/die ends it at once.\n\nExample: pistachioctl standin engine --listen 127.0.0.1:9001", &struct{}{})
 	if err != nil {
 		return failure.Wrap(err, failure.Internal, "command line")
 	}
@@ -44,7 +44,12 @@
 	}
 	line, _ := json.Marshal(map[string]string{"listening": l.Addr().String()}) // strings
 	fmt.Fprintln(s.app.out, string(line))
-	server := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	mux := http.NewServeMux()
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second}
+	mux.Handle("/", h)
+	mux.HandleFunc("PUT /faults/die", func(http.ResponseWriter, *http.Request) {
+		_ = server.Close() // every connection breaks, and the process ends
+	})
 	go func() {
 		<-s.app.ctx.Done()
 		_ = server.Close() // interrupted
--- a/ctl/standin/doc.go
+++ b/ctl/standin/doc.go
@@ -5,4 +5,5 @@
 //
 //	GET  /faults          the switches
 //	PUT  /faults          replaces them (JSON)
+//	PUT  /faults/die      ends the process at once (pistachioctl standin)
 package standin
--- a/ctl/standin/engine.go
+++ b/ctl/standin/engine.go
@@ -44,6 +44,8 @@
 	LoseOrders int `json:"lose_orders"`
 	// HideCache leaves each n-th program out of the cache report.
 	HideCache int `json:"hide_cache"`
+	// LateMS adds to the age of load reports.
+	LateMS int64 `json:"late_ms"`
 	// IgnoreFencing accepts old fencing tokens.
 	IgnoreFencing bool `json:"ignore_fencing"`
 }
@@ -403,7 +405,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var last target.Load
-	limit := time.Now().Add(-e.cfg.ReportLag)
+	limit := time.Now().Add(-e.cfg.ReportLag - time.Duration(e.faults.LateMS)*time.Millisecond)
 	n := 0
 	for n < len(e.load) && !e.load[n].at.After(limit) {
 		last = e.load[n].load
