core: a second keeper of the tail in the own data centre

The new owner went on without the last records and ran a call again that had been answered. Ruled out: the engine (it started what it was sent), the lease, the seal. The tail also goes to a peer of the own data centre, which nobody waits for; a new owner asks every peer and finds it there.

--- a/core/host/log.go
+++ b/core/host/log.go
@@ -25,6 +25,10 @@
 	tailSent       uint64
 	tailAcked      uint64
 	tailSentAt     time.Duration
+	// secondPeer, of the own data centre, gets the tail too, without being waited
+	// for: a new owner asks every peer, and finds it there if the first is away.
+	secondPeer string
+	secondSent uint64
 
 	firstKept       uint64 // first segment of the stream that is needed
 	firstRegistered uint64 // the same as the lease at the platform says
@@ -125,6 +129,7 @@
 func (h *Host) tickLog() {
 	h.expireWaits()
 	h.chooseTail()
+	h.chooseSecond()
 	if h.log.tailAcked < h.log.tailSent && h.now-h.log.tailSentAt > tailResendAfter {
 		h.log.tailSent = h.log.tailAcked
 		h.log.tailSentAt = h.now
@@ -193,10 +198,12 @@
 func (h *Host) segmentWritten(size int) {
 	h.log.writer.Done(true, size)
 	h.stats.SegmentBytes += uint64(size)
-	if p := h.members.peers[h.log.tailPeer]; p != nil {
-		h.send(p.address, &peerpb.Frame{Body: &peerpb.Frame_TailTrim{TailTrim: &peerpb.TailTrim{
-			Stream: h.self, Lsn: h.log.writer.Durable(),
-		}}})
+	for _, keeper := range []string{h.log.tailPeer, h.log.secondPeer} {
+		if p := h.members.peers[keeper]; p != nil {
+			h.send(p.address, &peerpb.Frame{Body: &peerpb.Frame_TailTrim{TailTrim: &peerpb.TailTrim{
+				Stream: h.self, Lsn: h.log.writer.Durable(),
+			}}})
+		}
 	}
 	h.releaseWaits()
 }
@@ -221,20 +228,41 @@
 
 // shipTail sends the tail peer what it has not been sent.
 func (h *Host) shipTail() {
-	p := h.members.peers[h.log.tailPeer]
-	w := h.log.writer
-	if p == nil || h.log.tailSent >= w.Last() || h.ready.Lost {
+	if h.ready.Lost {
 		return
 	}
-	records := w.Since(h.log.tailSent, tailFrameBytes)
+	if sent := h.shipTo(h.log.tailPeer, h.log.tailSent); sent != h.log.tailSent {
+		h.log.tailSent, h.log.tailSentAt = sent, h.now
+	}
+	h.log.secondSent = h.shipTo(h.log.secondPeer, h.log.secondSent)
+}
+
+// shipTo sends a peer the records after sent and returns the last one sent.
+func (h *Host) shipTo(peer string, sent uint64) uint64 {
+	p, w := h.members.peers[peer], h.log.writer
+	if p == nil || sent >= w.Last() {
+		return sent
+	}
+	records := w.Since(sent, tailFrameBytes)
 	if len(records) == 0 {
-		return
+		return sent
 	}
-	h.log.tailSent = records[len(records)-1].Lsn
-	h.log.tailSentAt = h.now
 	h.send(p.address, &peerpb.Frame{Body: &peerpb.Frame_TailAppend{TailAppend: &peerpb.TailAppend{
 		Stream: h.self, Records: records, Durable: w.Durable(),
 	}}})
+	return records[len(records)-1].Lsn
+}
+
+// chooseSecond keeps a living peer of the own data centre as the second keeper.
+func (h *Host) chooseSecond() {
+	if p := h.members.peers[h.log.secondPeer]; p != nil && h.hears(p) && p.name != h.log.tailPeer {
+		return
+	}
+	h.log.secondPeer, h.log.secondSent = "", 0
+	second := h.prefer(true, func(p *peer) bool { return h.hears(p) && !p.draining && p.name != h.log.tailPeer })
+	if second != nil {
+		h.log.secondPeer = second.name
+	}
 }
 
 func (h *Host) tailAppend(from *peer, m *peerpb.TailAppend) {
--- a/ctl/load/load.go
+++ b/ctl/load/load.go
@@ -417,13 +417,16 @@
 // OrderViolations finds calls of a program that were started after a later one.
 func OrderViolations(calls []standin.EngineCall) []string {
 	sort.SliceStable(calls, func(i, j int) bool { return calls[i].At.Before(calls[j].At) })
-	last := map[string]int{}
+	last := map[string]standin.EngineCall{}
 	var bad []string
 	for _, c := range calls {
-		if c.Sequence < last[c.Program] {
-			bad = append(bad, fmt.Sprintf("%s: call %d was started after call %d", c.Program, c.Sequence, last[c.Program]))
+		before := last[c.Program]
+		if c.Sequence < before.Sequence {
+			bad = append(bad, fmt.Sprintf("%s: call %d (%s, epoch %d) was started %s after call %d (%s, epoch %d)",
+				c.Program, c.Sequence, c.ID, c.Epoch, c.At.Sub(before.At), before.Sequence, before.ID, before.Epoch))
+			continue
 		}
-		last[c.Program] = max(last[c.Program], c.Sequence)
+		last[c.Program] = c
 	}
 	return bad
 }
