--- a/core/host/claim.go
+++ b/core/host/claim.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/pistachioarch/pistachioarch/core/journal"
 )
 
 // aliveLocal counts the members of the data centre that may own slots.
@@ -147,7 +149,7 @@
 // needs it. Its lease goes last, so that the work is found again if this
 // member dies meanwhile.
 func (h *Host) removeMember(p *peer) {
-	h.do(PlatformOp{Kind: OpKeys, Key: journalPrefix(p.name)}, func(r *PlatformReply) {
+	h.do(PlatformOp{Kind: OpKeys, Key: journal.StreamPrefix(p.name)}, func(r *PlatformReply) {
 		if r.Status != OpOK {
 			return
 		}
--- a/core/host/dump.go
+++ b/core/host/dump.go
@@ -169,14 +169,6 @@
 	return c.Name, c.Budget, true
 }
 
-// ServiceLimits returns the largest history of a service, in tokens.
-func (h *Host) ServiceLimits(name string) (historyTokens int64, ok bool) {
-	if h.set() == nil || h.set().Services[name] == nil {
-		return 0, false
-	}
-	return h.set().Services[name].HistoryTokens, true
-}
-
 // ConfigVersion returns the version of the declaration in force, 0 for none.
 func (h *Host) ConfigVersion() uint64 { return h.declare.version }
 
--- a/core/host/handover.go
+++ b/core/host/handover.go
@@ -4,7 +4,6 @@
 	"strconv"
 	"time"
 
-	"github.com/pistachioarch/pistachioarch/core/ident"
 	"github.com/pistachioarch/pistachioarch/core/peerpb"
 )
 
@@ -158,9 +157,3 @@
 	}
 	h.ready.Drained = true
 }
-
-// Owns reports whether this member serves the slot now.
-func (h *Host) Owns(slot ident.Slot) bool {
-	own := h.slots.mine[slot]
-	return own != nil && own.state != slotLoading
-}
--- a/core/host/lease.go
+++ b/core/host/lease.go
@@ -75,7 +75,7 @@
 		l.object.Renewal++
 		l.object.Tail = h.log.tailPeer
 		l.object.First, l.object.Last = h.log.firstKept, h.log.writer.Segment()
-		l.body, _ = json.Marshal(l.object) // a struct of strings and numbers
+		l.body = mustJSON(l.object)
 		l.sentAt = h.now
 	}
 	l.busy = true
--- a/core/host/slots.go
+++ b/core/host/slots.go
@@ -145,7 +145,7 @@
 func (h *Host) writeTable(t *slotTable, done func(ok bool)) {
 	h.slots.writes++
 	t.Writer = h.self + "#" + strconv.FormatUint(h.slots.writes, 10)
-	body, _ := json.Marshal(t.SlotTable)
+	body := mustJSON(t.SlotTable)
 	key := SlotsPrefix + t.DataCentre
 	h.slots.busy = true
 	h.put(key, t.version, body, func(s OpStatus, version uint64) {
--- a/core/host/takeover.go
+++ b/core/host/takeover.go
@@ -63,8 +63,6 @@
 	boundsAttempts   = 5
 )
 
-func journalPrefix(stream string) string { return journal.StreamPrefix(stream) }
-
 // recover starts the recovery of slots that became this member's.
 func (h *Host) recover(t *slotTable, gained []*ownedSlot) {
 	r := &recovery{slots: map[int]*ownedSlot{}}
--- a/core/host/watchpeer.go
+++ b/core/host/watchpeer.go
@@ -74,8 +74,7 @@
 		return
 	}
 	l.RevokedBy = h.self
-	body, _ := json.Marshal(l)
-	h.put(o.Key, o.Version, body, func(s OpStatus, version uint64) {
+	h.put(o.Key, o.Version, mustJSON(l), func(s OpStatus, version uint64) {
 		if s != OpOK {
 			return
 		}
--- a/ctl/always/cluster_test.go
+++ b/ctl/always/cluster_test.go
@@ -106,7 +106,7 @@
 }
 
 func (c *cluster) settings(m *member) *settings.Settings {
-	text := fmt.Sprintf(`
+	set, err := settings.Parse(fmt.Appendf(nil, `
 [host]
 name = %s
 data_centre = %s
@@ -116,13 +116,10 @@
 token_sha256 = %s
 [timing]
 data_centre_lease = 360s
-idle_timeout_is_in_the_declaration =
 [limits]
 forward_patience = 20s
 sweep_every = 10s
-`, m.name, m.dc, platformPlace, digest(token))
-	text = strings.Replace(text, "idle_timeout_is_in_the_declaration =\n", "", 1)
-	set, err := settings.Parse([]byte(text))
+`, m.name, m.dc, platformPlace, digest(token)))
 	require.NoError(c.t, err)
 	return set
 }
--- a/ctl/standin/platform.go
+++ b/ctl/standin/platform.go
@@ -107,26 +107,6 @@
 	return slices.Clone(p.history[key])
 }
 
-// Object returns an object as it is.
-func (p *Platform) Object(key string) ([]byte, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	o := p.objects[key]
-	if o == nil || o.deleted {
-		return nil, false
-	}
-	return o.body, true
-}
-
-// Corrupt damages the body of an object in place, as a bad disk would.
-func (p *Platform) Corrupt(key string, damage func([]byte) []byte) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if o := p.objects[key]; o != nil {
-		o.body = damage(slices.Clone(o.body))
-	}
-}
-
 // Keys lists the objects below a prefix.
 func (p *Platform) Keys(prefix string) []string {
 	p.mu.Lock()
