--- /dev/null
+++ b/core/balance/balance.go
@@ -0,0 +1,198 @@
+// Package balance decides which target serves a request.
+//
+// A Registry holds what one entry host knows of the targets: what the platform
+// lists, what their answers say of their load, how its own requests fared, and
+// which parts of prompts each model engine has read. Pick chooses by a cost that
+// weighs these; the caller of the package reports back with Sent, Heard and Done.
+package balance
+
+import (
+	"time"
+
+	"github.com/pistachioarch/pistachioarch/core/request"
+	"github.com/pistachioarch/pistachioarch/core/sched"
+)
+
+// Listed is what the platform lists of a target.
+type Listed struct {
+	// ID is of one start of the target; a restart is another target.
+	ID         string
+	Service    string
+	Address    string
+	DataCentre string
+	Places     int
+	// Draining targets get no new requests.
+	Draining bool
+}
+
+// Target is a target as this host knows it.
+type Target struct {
+	Listed
+	inFlight int
+	// reported is the target's own last word of its load, changed since by this
+	// host's own requests.
+	reported   request.Load
+	reportedAt time.Duration
+	hasReport  bool
+	breaker    sched.Breaker
+	cache      prefixCache
+}
+
+// Registry holds all targets. Not safe for concurrent use.
+type Registry struct {
+	dataCentre string
+	targets    map[string]*Target
+	services   map[string][]*Target
+}
+
+// NewRegistry returns an empty registry of a host in dataCentre.
+func NewRegistry(dataCentre string) *Registry {
+	return &Registry{dataCentre: dataCentre, targets: map[string]*Target{}, services: map[string][]*Target{}}
+}
+
+// Set adds or changes a target.
+func (r *Registry) Set(l Listed) {
+	t := r.targets[l.ID]
+	if t == nil {
+		t = &Target{cache: newPrefixCache()}
+		r.targets[l.ID] = t
+		r.services[l.Service] = append(r.services[l.Service], t)
+	}
+	t.Listed = l
+}
+
+// Remove takes a target out that is gone.
+func (r *Registry) Remove(id string) {
+	t := r.targets[id]
+	if t == nil {
+		return
+	}
+	delete(r.targets, id)
+	list := r.services[t.Service]
+	for i, x := range list {
+		if x == t {
+			r.services[t.Service] = append(list[:i:i], list[i+1:]...)
+			return
+		}
+	}
+}
+
+// Keep removes all targets that are not in ids.
+func (r *Registry) Keep(ids map[string]bool) {
+	for id := range r.targets {
+		if !ids[id] {
+			r.Remove(id)
+		}
+	}
+}
+
+// Target returns a target by id.
+func (r *Registry) Target(id string) (*Target, bool) {
+	t, ok := r.targets[id]
+	return t, ok
+}
+
+// Size is the number of targets.
+func (r *Registry) Size() int { return len(r.targets) }
+
+// Sent notes that a request goes to the target.
+func (t *Target) Sent(parts []request.Part, now time.Duration) {
+	t.inFlight++
+	t.reported.Running++
+	t.breaker.Sent()
+	t.cache.add(parts, now)
+}
+
+// Heard takes the load that an answer reports.
+func (t *Target) Heard(load request.Load, now time.Duration) {
+	t.reported, t.reportedAt, t.hasReport = load, now, true
+	if load.Places > 0 {
+		t.Places = load.Places
+	}
+}
+
+// Outcome is how a request at a target ended.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Served: the target answered.
+	Served Outcome = iota
+	// Refused: the target is full.
+	Refused
+	// Failed: no proper answer came.
+	Failed
+	// Abandoned: the caller left; it says nothing of the target.
+	Abandoned
+)
+
+// Done notes the end of a request.
+func (t *Target) Done(o Outcome, now time.Duration) {
+	t.inFlight--
+	t.reported.Running = max(0, t.reported.Running-1)
+	switch o {
+	case Served:
+		t.breaker.Success()
+	case Failed:
+		t.breaker.Failure(now)
+	}
+}
+
+// Load estimates the requests at the target: the larger of its own count and
+// this host's.
+func (t *Target) Load() int {
+	return max(t.inFlight, t.reported.Running+t.reported.Waiting)
+}
+
+// Query is what Pick needs to know of a request.
+type Query struct {
+	Service string
+	Parts   []request.Part
+	// PromptTokens is the length of the prompt; 0 for plain services.
+	PromptTokens int64
+	// Exclude lists targets that the request was at already.
+	Exclude map[string]bool
+}
+
+// Weights of the cost, in units of one full target.
+const (
+	// prefillWeight is the cost of reading a whole prompt that is not cached.
+	prefillWeight = 0.5
+	// farWeight is the cost of another data centre: it breaks ties between targets
+	// that are equally loaded.
+	farWeight = 0.02
+	// fullWeight is added where all places are taken.
+	fullWeight = 2
+)
+
+// Pick returns the best target for a request, if there is any.
+func (r *Registry) Pick(q Query, now time.Duration) (*Target, bool) {
+	var best *Target
+	var bestCost float64
+	for _, t := range r.services[q.Service] {
+		if t.Draining || q.Exclude[t.ID] || t.breaker.Open(now) {
+			continue
+		}
+		if cost := r.cost(t, q); best == nil || cost < bestCost {
+			best, bestCost = t, cost
+		}
+	}
+	return best, best != nil
+}
+
+func (r *Registry) cost(t *Target, q Query) float64 {
+	places := float64(max(1, t.Places))
+	load := float64(t.Load()) / places
+	cost := load
+	if load >= 1 {
+		cost += fullWeight
+	}
+	if t.DataCentre != r.dataCentre {
+		cost += farWeight
+	}
+	if q.PromptTokens > 0 {
+		missing := q.PromptTokens - t.cache.covered(q.Parts)
+		cost += prefillWeight * float64(max(0, missing)) / float64(q.PromptTokens)
+	}
+	return cost
+}
--- /dev/null
+++ b/core/balance/cache.go
@@ -0,0 +1,51 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/pistachioarch/pistachioarch/core/request"
+)
+
+// cacheEntries bounds the parts remembered of one engine: at 500 tokens a part it
+// is more than the memory of an engine of 500,000 tokens holds.
+const cacheEntries = 1024
+
+// prefixCache remembers which parts of prompts an engine has read lately.
+type prefixCache struct {
+	used map[string]time.Duration
+}
+
+func newPrefixCache() prefixCache { return prefixCache{used: map[string]time.Duration{}} }
+
+// add notes that the engine reads these parts.
+func (c *prefixCache) add(parts []request.Part, now time.Duration) {
+	for _, p := range parts {
+		c.used[p.ID] = now
+	}
+	for len(c.used) > cacheEntries {
+		c.evict()
+	}
+}
+
+func (c *prefixCache) evict() {
+	oldest := ""
+	for id, at := range c.used {
+		if oldest == "" || at < c.used[oldest] || at == c.used[oldest] && id < oldest {
+			oldest = id
+		}
+	}
+	delete(c.used, oldest)
+}
+
+// covered is the number of tokens at the start of the prompt that the engine
+// has: a part counts only if all before it are there.
+func (c *prefixCache) covered(parts []request.Part) int64 {
+	total := int64(0)
+	for _, p := range parts {
+		if _, ok := c.used[p.ID]; !ok {
+			break
+		}
+		total += int64(p.Tokens)
+	}
+	return total
+}
--- a/core/failure/failure.go
+++ b/core/failure/failure.go
@@ -49,6 +49,17 @@
 	InvalidDeclaration  Kind = "invalid_declaration"
 	Usage               Kind = "usage"
 	OutcomeMissed       Kind = "outcome_missed"
+	NotFound            Kind = "not_found"
+	HistoryGone         Kind = "history_gone"
+	NoRoute             Kind = "no_route"
+	NoConfiguration     Kind = "no_configuration"
+	UnknownTurn         Kind = "unknown_turn"
+	HistoryUnavailable  Kind = "history_unavailable"
+	TargetFull          Kind = "target_full"
+	TargetGone          Kind = "target_gone"
+	CallerGone          Kind = "caller_gone"
+	Timeout             Kind = "timeout"
+	BadAnswer           Kind = "bad_answer"
 	Internal            Kind = "internal"
 )
 
--- /dev/null
+++ b/core/ledger/ledger.go
@@ -0,0 +1,198 @@
+// Package ledger is the state of a history host: what each program has spent of
+// its budget, and its finished turns.
+//
+// A ledger is a set of records that merge: a settlement outweighs the
+// reservation of the same turn, a turn is immutable. Records may be applied in
+// any order and more than once, so that replicas agree once they have the same
+// records, however those reached them.
+package ledger
+
+import (
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pistachioarch/pistachioarch/core/historypb"
+)
+
+type spending struct {
+	tokens  int64
+	settled bool
+}
+
+type program struct {
+	slot    uint32
+	written int64 // ms, the newest record
+	spent   map[string]spending
+	turns   map[string]bool // the program's finished turns, and chains that it took over
+}
+
+// Ledger is the state of all slots that a member holds. Not safe for concurrent use.
+type Ledger struct {
+	programs map[string]*program
+	turns    map[string]*entry
+	bytes    int64
+}
+
+// entry is a turn and the number of programs that keep it.
+type entry struct {
+	turn *historypb.Turn
+	refs int
+}
+
+// New returns an empty ledger.
+func New() *Ledger {
+	return &Ledger{programs: map[string]*program{}, turns: map[string]*entry{}}
+}
+
+// Apply merges one record.
+func (l *Ledger) Apply(r *historypb.Record) {
+	p := l.programs[r.Program]
+	if p == nil {
+		p = &program{slot: r.Slot, spent: map[string]spending{}, turns: map[string]bool{}}
+		l.programs[r.Program] = p
+	}
+	p.written = max(p.written, r.WrittenMs)
+	switch c := r.Change.(type) {
+	case *historypb.Record_Reserve:
+		if _, known := p.spent[c.Reserve.Turn]; !known {
+			p.spent[c.Reserve.Turn] = spending{tokens: c.Reserve.Tokens}
+		}
+	case *historypb.Record_Settle:
+		p.spent[c.Settle.Turn] = spending{tokens: c.Settle.Tokens, settled: true}
+	case *historypb.Record_Turn:
+		l.keep(p, c.Turn)
+	}
+}
+
+func (l *Ledger) keep(p *program, t *historypb.Turn) {
+	if p.turns[t.Turn] {
+		return
+	}
+	p.turns[t.Turn] = true
+	e := l.turns[t.Turn]
+	if e == nil {
+		e = &entry{turn: t}
+		l.turns[t.Turn] = e
+		l.bytes += int64(len(t.Content))
+	}
+	e.refs++
+}
+
+func (l *Ledger) release(turn string) {
+	e := l.turns[turn]
+	e.refs--
+	if e.refs == 0 {
+		l.bytes -= int64(len(e.turn.Content))
+		delete(l.turns, turn)
+	}
+}
+
+// Bytes is the size of all turns kept.
+func (l *Ledger) Bytes() int64 { return l.bytes }
+
+// Programs is the number of programs known.
+func (l *Ledger) Programs() int { return len(l.programs) }
+
+// Spending returns what the program has reserved and used, turn by turn.
+func (l *Ledger) Spending(name string) []*historypb.Spending {
+	p := l.programs[name]
+	if p == nil {
+		return nil
+	}
+	list := make([]*historypb.Spending, 0, len(p.spent))
+	for turn, s := range p.spent {
+		list = append(list, &historypb.Spending{Turn: turn, Tokens: s.tokens, Settled: s.settled})
+	}
+	return list
+}
+
+// Chain returns the turn and those before it, newest first, as far as they are
+// here; it stops before a turn in known.
+func (l *Ledger) Chain(turn string, known []string) []*historypb.Turn {
+	stop := map[string]bool{}
+	for _, k := range known {
+		stop[k] = true
+	}
+	var chain []*historypb.Turn
+	for turn != "" && !stop[turn] {
+		e := l.turns[turn]
+		if e == nil {
+			break
+		}
+		chain = append(chain, e.turn)
+		turn = e.turn.Previous
+	}
+	return chain
+}
+
+// Page returns the records of the slot's programs whose names follow after, in
+// order of name, up to about limit bytes, and whether there are more.
+func (l *Ledger) Page(slot uint32, after string, limit int) (page []*historypb.Record, more bool) {
+	var names []string
+	for name, p := range l.programs {
+		if p.slot == slot && name > after {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	size := 0
+	for i, name := range names {
+		for _, r := range l.Program(name) {
+			size += proto.Size(r)
+			page = append(page, r)
+		}
+		if size >= limit {
+			return page, i+1 < len(names)
+		}
+	}
+	return page, false
+}
+
+// Program returns all records of a program.
+func (l *Ledger) Program(name string) []*historypb.Record {
+	p := l.programs[name]
+	if p == nil {
+		return nil
+	}
+	return l.programRecords(name, p)
+}
+
+func (l *Ledger) programRecords(name string, p *program) []*historypb.Record {
+	list := make([]*historypb.Record, 0, len(p.spent)+len(p.turns))
+	for turn, s := range p.spent {
+		r := &historypb.Record{Slot: p.slot, Program: name, WrittenMs: p.written}
+		if s.settled {
+			r.Change = &historypb.Record_Settle{Settle: &historypb.Settle{Turn: turn, Tokens: s.tokens}}
+		} else {
+			r.Change = &historypb.Record_Reserve{Reserve: &historypb.Reserve{Turn: turn, Tokens: s.tokens}}
+		}
+		list = append(list, r)
+	}
+	for id := range p.turns {
+		list = append(list, &historypb.Record{
+			Slot: p.slot, Program: name, WrittenMs: p.written,
+			Change: &historypb.Record_Turn{Turn: l.turns[id].turn},
+		})
+	}
+	return list
+}
+
+// Expire drops the programs without a record for longer than retention. A turn
+// lives as long as any program that keeps it.
+func (l *Ledger) Expire(nowMs int64, retention time.Duration) int {
+	dropped := 0
+	limit := nowMs - retention.Milliseconds()
+	for name, p := range l.programs {
+		if p.written >= limit {
+			continue
+		}
+		for id := range p.turns {
+			l.release(id)
+		}
+		delete(l.programs, name)
+		dropped++
+	}
+	return dropped
+}
--- /dev/null
+++ b/core/placement/change.go
@@ -0,0 +1,154 @@
+package placement
+
+import "slices"
+
+// Admit adds a member. An older member of the same host is gone for good, since
+// its disk is: the new one takes its places, joining. It reports whether the map
+// changed.
+func (m *Map) Admit(x Member) bool {
+	if old, ok := m.Members[x.ID]; ok {
+		if old == x {
+			return false
+		}
+		m.Members[x.ID] = x
+		m.Epoch++
+		return true
+	}
+	m.Epoch++
+	m.Members[x.ID] = x
+	for id, old := range m.Members {
+		if old.Host == x.Host && id != x.ID {
+			m.substitute(id, x.ID)
+			delete(m.Members, id)
+		}
+	}
+	for i := range m.Slots {
+		if m.Assigned() && m.fill(i, nil, true) {
+			m.Slots[i].Changed = m.Epoch
+		}
+	}
+	return true
+}
+
+// substitute puts member to into every place of member from. The disk of from
+// is lost, so it is no source of copies.
+func (m *Map) substitute(from, to string) {
+	for i := range m.Slots {
+		s := &m.Slots[i]
+		if s.Former == from {
+			s.Former = ""
+		}
+		for j := range s.Replicas {
+			if s.Replicas[j].Member == from {
+				s.Replicas[j] = Replica{Member: to, Joining: true}
+				s.Changed = m.Epoch
+			}
+		}
+	}
+}
+
+// Replace moves the places of member from to other members, one replica of a
+// slot at a time. Members in exclude take no place. A slot that has a joining
+// replica other than from waits for it. It reports whether the map changed.
+func (m *Map) Replace(from string, exclude map[string]bool) bool {
+	changed := false
+	for i := range m.Slots {
+		if !m.movable(i, from) {
+			continue
+		}
+		list := m.candidates(i, exclude)
+		if len(list) == 0 {
+			continue
+		}
+		if !changed {
+			m.Epoch++
+			changed = true
+		}
+		m.move(i, from, list[0].ID)
+	}
+	return changed
+}
+
+// movable reports whether the replica of from in slot i may be replaced now.
+func (m *Map) movable(i int, from string) bool {
+	s := &m.Slots[i]
+	if _, in := s.Replica(from); !in {
+		return false
+	}
+	for _, r := range s.Replicas {
+		if r.Joining && r.Member != from {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *Map) move(i int, from, to string) {
+	s := &m.Slots[i]
+	for j := range s.Replicas {
+		if s.Replicas[j].Member != from {
+			continue
+		}
+		if !s.Replicas[j].Joining {
+			s.Former = from
+		}
+		s.Replicas[j] = Replica{Member: to, Joining: true}
+	}
+	s.Changed = m.Epoch
+}
+
+// Activate marks a joining replica of the slots as active; it has copied them
+// under the epoch given for each. A slot that has changed since is left out.
+func (m *Map) Activate(member string, copied map[int]uint64) bool {
+	changed := false
+	for i, epoch := range copied {
+		s := &m.Slots[i]
+		at := slices.IndexFunc(s.Replicas, func(r Replica) bool { return r.Member == member && r.Joining })
+		if at < 0 || s.Changed != epoch {
+			continue
+		}
+		s.Replicas[at].Joining = false
+		s.Former = ""
+		changed = true
+	}
+	if changed {
+		m.Epoch++
+	}
+	return changed
+}
+
+// Sources returns the members from which a joining replica of slot i copies, and
+// how many of them it needs: as many as surely hold every acknowledged write.
+func (m *Map) Sources(i int, member string) (from []string, need int) {
+	s := &m.Slots[i]
+	for _, r := range s.Replicas {
+		if !r.Joining && r.Member != member {
+			from = append(from, r.Member)
+		}
+	}
+	if _, known := m.Members[s.Former]; known {
+		from = append(from, s.Former)
+	}
+	return from, min(m.Quorum(), len(from))
+}
+
+// Holds reports whether member has a place in any slot, or may still be needed
+// as a source.
+func (m *Map) Holds(member string) bool {
+	for _, s := range m.Slots {
+		if _, in := s.Replica(member); in || s.Former == member {
+			return true
+		}
+	}
+	return false
+}
+
+// Forget removes a member that holds nothing.
+func (m *Map) Forget(member string) bool {
+	if _, ok := m.Members[member]; !ok || m.Holds(member) {
+		return false
+	}
+	delete(m.Members, member)
+	m.Epoch++
+	return true
+}
--- /dev/null
+++ b/daemon/cmd/pistachiod/entry.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"context"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/pistachioarch/pistachioarch/daemon/entry"
+	"github.com/pistachioarch/pistachioarch/daemon/history"
+	"github.com/pistachioarch/pistachioarch/daemon/quorum"
+	"github.com/pistachioarch/pistachioarch/daemon/settings"
+	"github.com/pistachioarch/pistachioarch/platform"
+	"github.com/pistachioarch/pistachioarch/wire/objects"
+)
+
+func runEntry(ctx context.Context, set *settings.Role, logger *log.Logger) error {
+	dialer := peerDialer()
+	past := quorum.New(dialer, set.DataCentre, logger)
+	host := entry.New(entry.Options{
+		Headers: platform.Headers{}, History: past, Dialer: dialer,
+		DataCentre: set.DataCentre, ReadyPath: platform.ReadyPath, Log: logger,
+	})
+	callers, err := listen(set.CallerListen)
+	if err != nil {
+		return err
+	}
+	ready, err := listen(set.ReadyListen)
+	if err != nil {
+		return err
+	}
+	follow, stop := context.WithCancel(context.Background())
+	defer stop()
+	store := platform.NewStore(set.PlatformAddress)
+	go objects.Follow(follow, store, platform.ConfigKind, entry.NewConfigView(host, platform.ConfigName, platform.Table))
+	go objects.Follow(follow, store, platform.TargetKind, entry.NewTargetView(host, platform.Target))
+	go objects.Follow(follow, store, history.Kind, past)
+	go host.Run(follow)
+	server := host.Serve(callers)
+	host.ServeReady(ready)
+	<-ctx.Done()
+	host.Drain(server, set.Grace)
+	return nil
+}
--- /dev/null
+++ b/daemon/cmd/pistachiod/history.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/pistachioarch/pistachioarch/core/placement"
+	"github.com/pistachioarch/pistachioarch/daemon/history"
+	"github.com/pistachioarch/pistachioarch/daemon/settings"
+	"github.com/pistachioarch/pistachioarch/platform"
+	"github.com/pistachioarch/pistachioarch/wire/objects"
+	"github.com/pistachioarch/pistachioarch/wire/rpc"
+)
+
+// retention is how long turns are kept after their program's last record, until
+// a route's own retention is known to history hosts.
+const retention = 2 * time.Minute
+
+func runHistory(ctx context.Context, set *settings.Role, logger *log.Logger) error {
+	server, err := history.OpenServer(set.DataFolder, retention, logger)
+	if err != nil {
+		return err
+	}
+	listener, err := listen(set.HistoryListen())
+	if err != nil {
+		return err
+	}
+	store := platform.NewStore(set.PlatformAddress)
+	retirements := platform.NewRetirements(store)
+	self := placement.Member{ID: server.Member(), Host: set.Host, Address: set.HistoryListen(), DataCentre: set.DataCentre}
+	keeper := history.NewKeeper(server, store, self, set.FaultHosts, retirements, peerDialer(), logger)
+	go objects.Follow(ctx, store, platform.RetirementKind, retirements)
+	go keeper.Run(ctx)
+	go server.Sweep(ctx.Done())
+	go func() {
+		if err := rpc.Serve(listener, server.Handle); err != nil {
+			logger.Error("listener failed", "error", err.Error())
+		}
+	}()
+	<-ctx.Done()
+	logger.Info("stopping")
+	_ = listener.Close()
+	server.Close()
+	return nil
+}
--- a/daemon/cmd/pistachiod/main.go
+++ b/daemon/cmd/pistachiod/main.go
@@ -1,4 +1,7 @@
-// Command pistachiod runs one entry host.
+// Command pistachiod runs one host of the system.
+//
+//	pistachiod --settings FILE.ini     a host that owns programs
+//	pistachiod entry|history [...]     one role on the users' platform
 //
 // Exit codes: 0 after a graceful stop, 1 on a failure to run, 2 on wrong
 // settings or a wrong command line.
@@ -38,6 +41,11 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
+	if len(args) > 0 {
+		if role, ok := roles[args[0]]; ok {
+			return runRole(role, args[1:])
+		}
+	}
 	var opt options
 	if _, err := flags.NewParser(&opt, flags.Default).ParseArgs(args); err != nil {
 		var help *flags.Error
--- /dev/null
+++ b/daemon/cmd/pistachiod/role.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/daemon/logsink"
+	"github.com/pistachioarch/pistachioarch/daemon/settings"
+	"github.com/pistachioarch/pistachioarch/platform"
+)
+
+// roleFunc runs a role until the context ends, then stops it within the grace time.
+type roleFunc func(ctx context.Context, set *settings.Role, logger *log.Logger) error
+
+var roles = map[string]roleFunc{"entry": runEntry, "history": runHistory}
+
+type roleOptions struct {
+	Settings string `long:"settings" value-name:"FILE.ini" description:"settings of this role; on the users' platform it says where they are"`
+	Check    bool   `long:"check" description:"check the settings and stop"`
+}
+
+const (
+	// memoryShare is the part of the memory limit that the collector keeps to; the
+	// rest is for stacks, sockets and the runtime.
+	memoryShare = 0.75
+	// gcPercent lets the heap double and more between collections while it is far
+	// below the limit: the heaps are a few MB.
+	gcPercent = 200
+)
+
+func runRole(role roleFunc, args []string) int {
+	var opt roleOptions
+	if _, err := flags.NewParser(&opt, flags.Default).ParseArgs(args); err != nil {
+		var help *flags.Error
+		if errors.As(err, &help) && help.Type == flags.ErrHelp {
+			return exitOK
+		}
+		return exitSettings
+	}
+	logger := log.NewWithOptions(logsink.New(os.Stdout), log.Options{Formatter: log.JSONFormatter, ReportTimestamp: true, TimeFormat: time.RFC3339Nano})
+	path := opt.Settings
+	if path == "" {
+		path = platform.SettingsPath()
+	}
+	set, err := settings.LoadRole(path)
+	if err != nil {
+		reportFaults(logger, err)
+		time.Sleep(logFlush)
+		return exitSettings
+	}
+	if opt.Check {
+		logger.Info("settings are sound", "file", path)
+		time.Sleep(logFlush)
+		return exitOK
+	}
+	if set.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(math.Floor(float64(set.MemoryBytes) * memoryShare)))
+	}
+	debug.SetGCPercent(gcPercent)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	signal.Ignore(syscall.SIGHUP)
+	logger.Info("started", "host", set.Host, "data_centre", set.DataCentre, "address", set.Address)
+	if err := role(ctx, set, logger); err != nil {
+		logger.Error("cannot run", "type", string(failure.From(err).Kind), "error", err.Error())
+		time.Sleep(logFlush)
+		return exitFailure
+	}
+	return exitOK
+}
+
+// logFlush gives the last log lines time to be written before the process ends.
+const logFlush = 20 * time.Millisecond
+
+func listen(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.InvalidSetting, "listen on %s", address)
+	}
+	return l, nil
+}
+
+// peerDialer connects to other hosts of the system and to targets. Probes and the
+// user timeout end a connection through a partition in about a second.
+func peerDialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout: connectTimeout,
+		Control: func(_, _ string, c syscall.RawConn) error {
+			var optErr error
+			err := c.Control(func(fd uintptr) {
+				optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedLimit.Milliseconds()))
+			})
+			return errors.Join(err, optErr)
+		},
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 2},
+	}
+}
+
+const (
+	// connectTimeout bounds a dial: two round trips between data centres take some
+	// milliseconds, a target that resets or refuses answers at once.
+	connectTimeout = 500 * time.Millisecond
+	// unackedLimit closes a connection whose peer has acknowledged nothing for it.
+	unackedLimit = 1500 * time.Millisecond
+	// tcpUserTimeout is TCP_USER_TIMEOUT of Linux.
+	tcpUserTimeout = 18
+)
--- /dev/null
+++ b/daemon/entry/events.go
@@ -0,0 +1,70 @@
+package entry
+
+import (
+	"bytes"
+	"io"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
+// event is one whole event of a stream.
+type event struct {
+	// raw is the event as it came, with the blank line that ends it.
+	raw []byte
+	// id and data are the values of its fields; data lines are joined by line feeds.
+	id   string
+	data []byte
+}
+
+// eventReader splits a stream into events.
+type eventReader struct {
+	from io.Reader
+	buf  []byte
+	err  error
+}
+
+// next returns the next whole event. At the end of the stream it returns io.EOF,
+// or io.ErrUnexpectedEOF if the stream ended inside an event.
+func (r *eventReader) next() (event, error) {
+	for {
+		if end := bytes.Index(r.buf, []byte("\n\n")); end >= 0 {
+			raw := r.buf[:end+2]
+			r.buf = r.buf[end+2:]
+			return parseEvent(raw), nil
+		}
+		if r.err != nil {
+			if r.err == io.EOF && len(bytes.TrimSpace(r.buf)) > 0 {
+				return event{}, io.ErrUnexpectedEOF
+			}
+			return event{}, r.err
+		}
+		if len(r.buf) > maxEventBytes {
+			return event{}, io.ErrShortBuffer
+		}
+		var chunk [2048]byte
+		n, err := r.from.Read(chunk[:])
+		r.buf = append(r.buf, chunk[:n]...)
+		r.err = err
+	}
+}
+
+func parseEvent(raw []byte) event {
+	e := event{raw: raw}
+	first := true
+	for line := range bytes.SplitSeq(bytes.TrimRight(raw, "\n"), []byte("\n")) {
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch string(name) {
+		case "id":
+			e.id = string(value)
+		case "data":
+			if !first {
+				e.data = append(e.data, '\n')
+			}
+			e.data = append(e.data, value...)
+			first = false
+		}
+	}
+	return e
+}
--- /dev/null
+++ b/daemon/entry/forward.go
@@ -0,0 +1,153 @@
+package entry
+
+import (
+	"context"
+	"hash/fnv"
+	"net/http"
+	"time"
+
+	"github.com/pistachioarch/pistachioarch/core/balance"
+	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/core/request"
+	"github.com/pistachioarch/pistachioarch/core/routing"
+	"github.com/pistachioarch/pistachioarch/wire/targetpool"
+)
+
+// Idle times after which a kept connection is not reused: a request that must not
+// be repeated is lost if its target closes the connection at that moment.
+const (
+	maxIdleRepeatable = 5 * time.Second
+	maxIdleOnce       = 500 * time.Millisecond
+)
+
+// hopByHop are the headers that concern only one connection.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+// draw is a number in [0, 1) from the request's id: all attempts at one split
+// spread evenly without a random source.
+func (x *exchange) draw() float64 {
+	f := fnv.New32a()
+	f.Write([]byte(x.call.ID))
+	return float64(f.Sum32()) / (1 << 32)
+}
+
+// forward sends the request to targets until one answers or no more may be tried.
+func (x *exchange) forward(ctx context.Context) error {
+	for {
+		t, err := x.pick()
+		if err != nil {
+			return err
+		}
+		again, err := x.try(ctx, t)
+		if err == nil || !again || ctx.Err() != nil {
+			return err
+		}
+		x.host.Log.Info("request sent again", "request", x.call.ID, "target", t.ID, "sends", x.sends, "error", err.Error())
+		if x.sends >= x.route.Attempts {
+			return err
+		}
+	}
+}
+
+// pick chooses the next target.
+func (x *exchange) pick() (balance.Listed, error) {
+	h := x.host
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t, ok := h.registry.Pick(balance.Query{
+		Service: x.service, Parts: x.call.Prefix, PromptTokens: x.call.PromptTokens, Exclude: x.tried,
+	}, h.now())
+	if !ok {
+		return balance.Listed{}, failure.Retry(failure.NoTarget, retryLater, "no target of %s among %d", x.service, h.registry.Size())
+	}
+	t.Sent(x.call.Prefix, h.now())
+	x.tried[t.ID] = true
+	x.target = t.ID
+	return t.Listed, nil
+}
+
+// done reports the end of a send to the registry.
+func (x *exchange) done(target string, a *request.Answer, o balance.Outcome) {
+	h := x.host
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t, ok := h.registry.Target(target)
+	if !ok {
+		return
+	}
+	t.Done(o, h.now())
+	if a != nil && a.HasLoad {
+		t.Heard(a.Load, h.now())
+	}
+}
+
+// try sends the request to one target and passes its answer on. again reports
+// that another target may be tried.
+func (x *exchange) try(ctx context.Context, t balance.Listed) (again bool, err error) {
+	resp, err := x.host.pool.Do(ctx, x.outgoing(t, x.call.LastEvent), x.decode)
+	if err != nil {
+		f := failure.From(err)
+		x.done(t.ID, nil, outcomeOf(ctx, f))
+		if f.Ran != failure.RanNo {
+			x.sends++
+		}
+		return f.Ran == failure.RanNo || x.route.Kind == routing.Idempotent, err
+	}
+	x.sends++
+	defer resp.Body.Close()
+	if resp.Answer.NotRun {
+		x.done(t.ID, &resp.Answer, refusal(resp.Answer))
+		return true, failure.Retry(failure.TargetFull, retryLater, "target %s refused with %d", t.ID, resp.Status)
+	}
+	if x.route.Kind == routing.Streaming && resp.Status == http.StatusOK {
+		return x.stream(ctx, t, resp)
+	}
+	return x.plain(ctx, t, resp)
+}
+
+func refusal(a request.Answer) balance.Outcome {
+	if a.Moved {
+		return balance.Failed
+	}
+	return balance.Refused
+}
+
+func outcomeOf(ctx context.Context, f *failure.Failure) balance.Outcome {
+	if ctx.Err() != nil || f.Kind == failure.CallerGone {
+		return balance.Abandoned
+	}
+	return balance.Failed
+}
+
+func (x *exchange) decode(status int, h map[string][]string) request.Answer {
+	return x.host.Headers.Answer(status, h)
+}
+
+// outgoing builds the request to a target.
+func (x *exchange) outgoing(t balance.Listed, lastEvent string) *targetpool.Request {
+	header := x.host.Headers.Outgoing(x.r.Header, request.Send{
+		Target: t.ID, Left: time.Until(x.deadline), LastEvent: lastEvent,
+	})
+	stripHop(header)
+	idle := maxIdleRepeatable
+	if x.route.Kind != routing.Idempotent {
+		idle = maxIdleOnce
+	}
+	return &targetpool.Request{
+		Address: t.Address, Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host,
+		Header: header, Body: x.body, ID: x.call.ID, MaxIdle: idle,
+	}
+}
+
+// stripHop removes the headers that concern only one connection.
+func stripHop(header http.Header) {
+	for _, name := range connectionOptions(header) {
+		header.Del(name)
+	}
+	for _, name := range hopByHop {
+		header.Del(name)
+	}
+}
--- /dev/null
+++ b/daemon/entry/handle.go
@@ -0,0 +1,142 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/core/request"
+	"github.com/pistachioarch/pistachioarch/core/routing"
+)
+
+// exchange is one caller's request and what became of it.
+type exchange struct {
+	host   *Host
+	w      http.ResponseWriter
+	r      *http.Request
+	call   request.Call
+	table  *routing.Table
+	route  *routing.Route
+	engine *routing.Engine // nil for plain services
+	began  time.Time
+	// deadline is the earlier of the caller's and the route's.
+	deadline time.Time
+	body     []byte
+	// service is drawn once: a retry goes to the same one.
+	service string
+	tried   map[string]bool
+	sends   int
+	// answered is set once the head of an answer went to the caller.
+	answered bool
+	turn     *turn
+	target   string
+}
+
+// retryLater is when a caller that was refused may come back: time for a target
+// to finish a request or a history host to be replaced as reader.
+const retryLater = 100 * time.Millisecond
+
+// ServeHTTP implements http.Handler.
+func (h *Host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.active.Add(1)
+	defer h.active.Add(-1)
+	x := &exchange{host: h, w: w, r: r, began: time.Now(), tried: map[string]bool{}}
+	if h.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if err := x.serve(); err != nil {
+		x.fail(failure.From(err))
+	}
+}
+
+func (x *exchange) serve() error {
+	if err := x.accept(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithDeadlineCause(x.r.Context(), x.deadline, context.DeadlineExceeded)
+	defer cancel()
+	if x.isTurn() {
+		return x.serveTurn(ctx)
+	}
+	return x.forward(ctx)
+}
+
+// accept decodes the request, finds its route and reads its body.
+func (x *exchange) accept() error {
+	x.table = x.host.table.Load()
+	if x.table == nil {
+		return failure.Retry(failure.NoConfiguration, retryLater, "no configuration yet")
+	}
+	var err error
+	if x.call, err = x.host.Headers.Call(x.r.Header); err != nil {
+		return err
+	}
+	route, ok := x.table.Match(x.r.Host, x.r.URL.Path)
+	if !ok {
+		return failure.New(failure.NoRoute, "no route for %s%s in version %d", x.r.Host, x.r.URL.Path, x.table.Version)
+	}
+	x.route = route
+	x.service = route.Choose(x.draw())
+	if s, ok := x.table.Service(x.service); ok {
+		x.engine = s.Engine
+	}
+	x.deadline = x.began.Add(patience(x.call.Left, route.Timeout))
+	return x.readBody()
+}
+
+// longest bounds a request for which neither the caller nor the route says how
+// long it may take.
+const longest = 60 * time.Second
+
+// patience is the smaller of the two times that are given.
+func patience(caller, route time.Duration) time.Duration {
+	limit := longest
+	if caller > 0 {
+		limit = min(limit, caller)
+	}
+	if route > 0 {
+		limit = min(limit, route)
+	}
+	return limit
+}
+
+func (x *exchange) readBody() error {
+	limit := x.table.Limits.BodyBytes
+	if limit <= 0 {
+		limit = 1 << 20
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return failure.New(failure.TooLarge, "body over %d bytes", limit)
+	}
+	if err != nil {
+		return failure.Wrap(err, failure.BadRequest, "body")
+	}
+	x.body = body
+	return nil
+}
+
+// fail gives the caller the final answer at once.
+func (x *exchange) fail(f *failure.Failure) {
+	status := statusOf(f)
+	x.host.Log.Info("request failed",
+		"request", x.call.ID, "program", x.call.Program, "kind", string(f.Kind), "ran", string(f.Ran), "status", status,
+		"sends", x.sends, "target", x.target, "after_ms", time.Since(x.began).Milliseconds(), "detail", f.Detail)
+	if x.answered {
+		// The head is out: only a broken connection tells that the rest is missing.
+		panic(http.ErrAbortHandler)
+	}
+	if f.Kind == failure.CallerGone || x.r.Context().Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+	head := x.w.Header()
+	if f.RetryAfter > 0 {
+		x.host.Headers.RetryAfter(head, f.RetryAfter)
+	}
+	x.host.Headers.Echo(head, x.call.ID)
+	http.Error(x.w, string(f.Kind), status)
+}
--- /dev/null
+++ b/daemon/entry/host.go
@@ -0,0 +1,187 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/pistachioarch/pistachioarch/core/balance"
+	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/core/request"
+	"github.com/pistachioarch/pistachioarch/core/routing"
+	"github.com/pistachioarch/pistachioarch/daemon/quorum"
+	"github.com/pistachioarch/pistachioarch/wire/targetpool"
+)
+
+// Headers translates the headers of callers and targets.
+type Headers interface {
+	// Call decodes a caller's request; the failure is of kind BadRequest.
+	Call(http.Header) (request.Call, error)
+	// Outgoing returns the headers of a request to a target.
+	Outgoing(in http.Header, s request.Send) http.Header
+	// Answer decodes the head of a target's answer.
+	Answer(status int, h http.Header) request.Answer
+	// RetryAfter tells a caller when to come back.
+	RetryAfter(h http.Header, d time.Duration)
+	// Echo names the request in an answer of the system's own.
+	Echo(h http.Header, id string)
+}
+
+// Options are the parts that a Host is made of.
+type Options struct {
+	Headers Headers
+	History *quorum.Client
+	// Dialer opens connections to targets.
+	Dialer     targetpool.Dialer
+	DataCentre string
+	// ReadyPath is where the platform asks whether the host takes requests.
+	ReadyPath string
+	Log       *log.Logger
+}
+
+// Host serves the callers of one entry host.
+type Host struct {
+	Options
+	table atomic.Pointer[routing.Table]
+	pool  *targetpool.Pool
+	start time.Time
+
+	mu       sync.Mutex
+	registry *balance.Registry
+
+	draining atomic.Bool
+	active   atomic.Int64
+	// work is what goes on after an answer: settling budgets.
+	work sync.WaitGroup
+}
+
+// New returns a host without configuration and targets.
+func New(o Options) *Host {
+	return &Host{
+		Options:  o,
+		pool:     targetpool.New(o.Dialer),
+		start:    time.Now(),
+		registry: balance.NewRegistry(o.DataCentre),
+	}
+}
+
+// now is the host's monotonic time.
+func (h *Host) now() time.Duration { return time.Since(h.start) }
+
+// Server defaults, in force until the first configuration says otherwise.
+const (
+	defaultHeaderBytes   = 16 << 10
+	defaultHeaderTimeout = 3 * time.Second
+	defaultIdleTimeout   = 15 * time.Second
+)
+
+// Serve takes callers' requests until Shutdown.
+func (h *Host) Serve(listener net.Listener) *http.Server {
+	server := &http.Server{
+		Handler:           h,
+		MaxHeaderBytes:    defaultHeaderBytes,
+		ReadHeaderTimeout: defaultHeaderTimeout,
+		IdleTimeout:       defaultIdleTimeout,
+		ErrorLog:          h.Log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+	}
+	go func() {
+		if err := server.Serve(listener); err != nil && err != http.ErrServerClosed {
+			h.Log.Error("callers' listener failed", "error", err.Error())
+		}
+	}()
+	return server
+}
+
+// Ready reports whether the host can serve: it has a configuration and knows the
+// history hosts, and it is not about to stop.
+func (h *Host) Ready() bool {
+	return !h.draining.Load() && h.table.Load() != nil && h.History.Ready()
+}
+
+// ServeReady answers the platform's question whether the host takes requests.
+func (h *Host) ServeReady(listener net.Listener) {
+	mux := http.NewServeMux()
+	mux.HandleFunc(h.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !h.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: defaultHeaderTimeout}
+	go func() {
+		if err := server.Serve(listener); err != nil && err != http.ErrServerClosed {
+			h.Log.Error("readiness listener failed", "error", err.Error())
+		}
+	}()
+}
+
+// Run keeps the connections to targets tidy until the context ends.
+func (h *Host) Run(ctx context.Context) { h.pool.Reap(ctx) }
+
+const (
+	// leaveAfter is how long a stopping host goes on as before, not ready: the
+	// platform takes it out of rotation after two questions a second apart.
+	leaveAfter = 2500 * time.Millisecond
+	// settleReserve is kept of the grace for what goes on after the last answer.
+	settleReserve = 500 * time.Millisecond
+)
+
+// Drain stops the host within grace: it is not ready at once, serves on until no
+// new connections come, then closes connections as they fall idle.
+func (h *Host) Drain(server *http.Server, grace time.Duration) {
+	h.draining.Store(true)
+	h.Log.Info("draining", "active", h.active.Load())
+	end := time.Now().Add(grace - settleReserve)
+	time.Sleep(min(leaveAfter, grace/3))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		h.Log.Warn("requests cut off at the end of the grace time", "active", h.active.Load())
+	}
+	done := make(chan struct{})
+	go func() {
+		h.work.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(settleReserve / 2):
+		h.Log.Warn("budgets left unsettled")
+	}
+	h.Log.Info("stopped")
+}
+
+// statuses are the HTTP statuses of failures that did not run.
+var statuses = map[failure.Kind]int{
+	failure.BadRequest:         http.StatusBadRequest,
+	failure.TooLarge:           http.StatusRequestEntityTooLarge,
+	failure.NoRoute:            http.StatusNotFound,
+	failure.UnknownTurn:        http.StatusNotFound,
+	failure.BudgetExhausted:    http.StatusPaymentRequired,
+	failure.NoConfiguration:    http.StatusServiceUnavailable,
+	failure.HistoryUnavailable: http.StatusServiceUnavailable,
+	failure.NoTarget:           http.StatusServiceUnavailable,
+	failure.TargetFull:         http.StatusServiceUnavailable,
+	failure.TargetFailed:       http.StatusServiceUnavailable,
+	failure.Overloaded:         http.StatusServiceUnavailable,
+	failure.Timeout:            http.StatusServiceUnavailable,
+}
+
+// statusOf maps a failure to an HTTP status. A request that may have run never
+// gets a status that promises that it did not.
+func statusOf(f *failure.Failure) int {
+	if f.Ran == failure.RanNo {
+		if status, ok := statuses[f.Kind]; ok {
+			return status
+		}
+		return http.StatusServiceUnavailable
+	}
+	if f.Kind == failure.Timeout {
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
--- /dev/null
+++ b/daemon/entry/plain.go
@@ -0,0 +1,74 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/pistachioarch/pistachioarch/core/balance"
+	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/core/routing"
+	"github.com/pistachioarch/pistachioarch/wire/targetpool"
+)
+
+// maxPlainBytes bounds an answer that is not a stream; it is held in memory until
+// it is whole, so that a broken one can be told from a complete one.
+const maxPlainBytes = 8 << 20
+
+// plain passes on an answer that is not a stream, once it is whole.
+func (x *exchange) plain(ctx context.Context, t balance.Listed, resp *targetpool.Response) (again bool, err error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPlainBytes+1))
+	if err == nil && len(body) > maxPlainBytes {
+		err = failure.New(failure.TooLarge, "answer over %d bytes", maxPlainBytes)
+	}
+	if err != nil {
+		f := failure.Unknown(failure.BadAnswer, "body of the answer of %s: %v", t.ID, err)
+		if ctx.Err() != nil {
+			f.Kind = failure.Timeout
+		}
+		x.done(t.ID, &resp.Answer, outcomeOf(ctx, f))
+		return x.route.Kind == routing.Idempotent, f
+	}
+	if resp.Status < http.StatusMultipleChoices && !resp.Answer.Signed {
+		x.done(t.ID, &resp.Answer, balance.Failed)
+		return x.route.Kind == routing.Idempotent, failure.Unknown(failure.BadAnswer, "unsigned answer of %s", t.ID)
+	}
+	x.done(t.ID, &resp.Answer, balance.Served)
+	x.copyHead(resp.Header)
+	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	x.answered = true
+	x.w.WriteHeader(resp.Status)
+	if _, err := x.w.Write(body); err != nil {
+		x.host.Log.Debug("caller left before the answer", "request", x.call.ID, "error", err.Error())
+	}
+	return false, nil
+}
+
+// copyHead copies a target's headers but those of its connection.
+func (x *exchange) copyHead(from http.Header) {
+	to := x.w.Header()
+	for name, values := range from {
+		to[name] = values
+	}
+	closing := x.host.draining.Load()
+	stripHop(to)
+	if closing {
+		to.Set("Connection", "close")
+	}
+	if _, given := from["Content-Type"]; !given {
+		to["Content-Type"] = nil // keeps net/http from guessing one
+	}
+}
+
+// connectionOptions lists the headers that a Connection header names.
+func connectionOptions(h http.Header) []string {
+	var names []string
+	for _, v := range h["Connection"] {
+		for name := range strings.SplitSeq(v, ",") {
+			names = append(names, strings.TrimSpace(name))
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/daemon/entry/stream.go
@@ -0,0 +1,112 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/pistachioarch/pistachioarch/core/balance"
+	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/wire/targetpool"
+)
+
+// stream passes events on as they come. A stream that breaks is resumed at other
+// targets where the route allows it.
+func (x *exchange) stream(ctx context.Context, t balance.Listed, resp *targetpool.Response) (again bool, err error) {
+	x.copyHead(resp.Header)
+	last := x.call.LastEvent
+	for {
+		err = x.pump(resp, &last)
+		if err == nil {
+			x.done(t.ID, &resp.Answer, balance.Served)
+			return false, x.finishStream(ctx)
+		}
+		f := failure.Unknown(failure.BadAnswer, "stream of %s broke off: %v", t.ID, err)
+		if ctx.Err() != nil {
+			f.Kind = failure.Timeout
+		}
+		x.done(t.ID, &resp.Answer, outcomeOf(ctx, f))
+		_ = resp.Body.Close()
+		if !x.route.Resumable || ctx.Err() != nil || errors.Is(err, errCallerWrite) {
+			return false, f
+		}
+		if t, resp, err = x.resume(ctx, last); err != nil {
+			return false, failure.Unknown(failure.BadAnswer, "%v; resume: %v", f, err)
+		}
+		defer resp.Body.Close()
+	}
+}
+
+// errCallerWrite marks a failure to write to the caller.
+var errCallerWrite = failure.New(failure.CallerGone, "write to the caller")
+
+// pump passes whole events on until the stream ends.
+func (x *exchange) pump(resp *targetpool.Response, last *string) error {
+	flush := http.NewResponseController(x.w)
+	events := &eventReader{from: resp.Body}
+	for {
+		e, err := events.next()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if !x.answered {
+			x.answered = true
+			x.w.WriteHeader(resp.Status)
+		}
+		if x.turn != nil {
+			x.turn.note(e)
+		}
+		if _, err := x.w.Write(e.raw); err != nil {
+			return errCallerWrite
+		}
+		if err := flush.Flush(); err != nil {
+			return errCallerWrite
+		}
+		if e.id != "" {
+			*last = e.id
+		}
+	}
+}
+
+// resume sends the request to another target, after the last event passed on.
+func (x *exchange) resume(ctx context.Context, last string) (balance.Listed, *targetpool.Response, error) {
+	for x.sends < x.route.Attempts {
+		t, err := x.pick()
+		if err != nil {
+			return balance.Listed{}, nil, err
+		}
+		x.host.Log.Info("stream resumed", "request", x.call.ID, "target", t.ID, "after_event", last)
+		resp, err := x.host.pool.Do(ctx, x.outgoing(t, last), x.decode)
+		if err != nil {
+			f := failure.From(err)
+			x.done(t.ID, nil, outcomeOf(ctx, f))
+			if f.Ran != failure.RanNo {
+				x.sends++
+			}
+			continue
+		}
+		x.sends++
+		if resp.Status == http.StatusOK {
+			return t, resp, nil
+		}
+		x.done(t.ID, &resp.Answer, balance.Refused)
+		_ = resp.Body.Close()
+	}
+	return balance.Listed{}, nil, failure.Unknown(failure.TargetFailed, "%d targets tried", x.sends)
+}
+
+// finishStream makes a turn durable before its caller sees it end.
+func (x *exchange) finishStream(ctx context.Context) error {
+	if !x.answered {
+		x.answered = true
+		x.w.WriteHeader(http.StatusOK)
+	}
+	if x.turn == nil {
+		return nil
+	}
+	return x.turn.finish(ctx)
+}
--- /dev/null
+++ b/daemon/entry/turn.go
@@ -0,0 +1,157 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/core/historypb"
+	"github.com/pistachioarch/pistachioarch/core/routing"
+)
+
+const (
+	// historyPatience bounds the wait for history hosts before a turn is sent: a
+	// caller that is refused comes back to another host.
+	historyPatience = 800 * time.Millisecond
+	// settlePatience bounds the settling of a budget after an answer.
+	settlePatience = 3 * time.Second
+)
+
+// turn is one turn of a program while it runs.
+type turn struct {
+	x      *exchange
+	input  []byte
+	output []byte
+	events int64
+}
+
+func (x *exchange) isTurn() bool {
+	return x.route.Kind == routing.Streaming && x.call.Program != "" && x.engine != nil
+}
+
+// note counts an event that is about to go to the caller.
+func (t *turn) note(e event) {
+	t.events++
+	if t.x.route.Retained {
+		t.output = append(t.output, e.data...)
+		t.output = append(t.output, '\n')
+	}
+}
+
+// tokens is what was handed to the caller so far.
+func (t *turn) tokens() int64 { return t.events * t.x.engine.TokensPerEvent }
+
+// serveTurn reserves budget, rebuilds the prompt, and forwards the turn.
+func (x *exchange) serveTurn(ctx context.Context) error {
+	t := &turn{x: x, input: x.body}
+	if err := t.begin(ctx); err != nil {
+		t.settle()
+		return err
+	}
+	x.turn = t
+	err := x.forward(ctx)
+	if err != nil {
+		t.settle()
+	}
+	return err
+}
+
+// begin reserves the most that the turn can generate, then reads what all turns
+// of the program reserved before and the chain that this one continues.
+func (t *turn) begin(ctx context.Context) error {
+	x := t.x
+	ctx, cancel := context.WithTimeout(ctx, historyPatience)
+	defer cancel()
+	reserve := &historypb.Record{Change: &historypb.Record_Reserve{
+		Reserve: &historypb.Reserve{Turn: x.call.ID, Tokens: x.call.MaxTokens},
+	}}
+	history := x.host.History
+	if err := history.Write(ctx, x.call.Program, reserve); err != nil {
+		return later(err)
+	}
+	previous := ""
+	if x.route.Retained {
+		previous = x.call.Previous
+	}
+	past, err := history.Read(ctx, x.call.Program, previous)
+	if err != nil {
+		return later(err)
+	}
+	if x.call.Budget > 0 && !past.Usage.Allows(x.call.ID, x.call.MaxTokens, x.call.Budget) {
+		return failure.New(failure.BudgetExhausted, "%d of %d used by others, %d wanted",
+			past.Usage.Without(x.call.ID), x.call.Budget, x.call.MaxTokens)
+	}
+	return t.prepend(ctx, past.Chain, past.Elsewhere)
+}
+
+// later tells the caller to come back, unless trying again cannot help.
+func later(err error) error {
+	f := *failure.From(err)
+	if f.Kind == failure.UnknownTurn {
+		return &f
+	}
+	f.Kind, f.Ran, f.RetryAfter = failure.HistoryUnavailable, failure.RanNo, retryLater
+	return &f
+}
+
+// prepend puts the chain, oldest turn first, before the new input. A chain that
+// another program kept is copied, so that it lives as long as this program.
+func (t *turn) prepend(ctx context.Context, chain []*historypb.Turn, elsewhere bool) error {
+	if len(chain) == 0 {
+		return nil
+	}
+	size := len(t.input)
+	for _, c := range chain {
+		size += len(c.Content)
+	}
+	body := make([]byte, 0, size)
+	for i := len(chain) - 1; i >= 0; i-- {
+		body = append(body, chain[i].Content...)
+	}
+	t.x.body = append(body, t.input...)
+	if !elsewhere {
+		return nil
+	}
+	records := make([]*historypb.Record, 0, len(chain))
+	for _, c := range chain {
+		records = append(records, &historypb.Record{Change: &historypb.Record_Turn{Turn: c}})
+	}
+	if err := t.x.host.History.Write(ctx, t.x.call.Program, records...); err != nil {
+		return later(err)
+	}
+	return nil
+}
+
+// finish makes the turn and its budget use durable.
+func (t *turn) finish(ctx context.Context) error {
+	records := []*historypb.Record{t.settlement()}
+	if t.x.route.Retained {
+		content := append(append([]byte(nil), t.input...), t.output...)
+		records = append(records, &historypb.Record{Change: &historypb.Record_Turn{
+			Turn: &historypb.Turn{Turn: t.x.call.ID, Previous: t.x.call.Previous, Content: content},
+		}})
+	}
+	if err := t.x.host.History.Write(ctx, t.x.call.Program, records...); err != nil {
+		return failure.Unknown(failure.HistoryUnavailable, "turn not kept: %v", err)
+	}
+	return nil
+}
+
+func (t *turn) settlement() *historypb.Record {
+	return &historypb.Record{Change: &historypb.Record_Settle{
+		Settle: &historypb.Settle{Turn: t.x.call.ID, Tokens: t.tokens()},
+	}}
+}
+
+// settle replaces the reservation of a turn that did not end whole by what was
+// handed out, without the caller waiting for it.
+func (t *turn) settle() {
+	h := t.x.host
+	h.work.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), settlePatience)
+		defer cancel()
+		if err := h.History.Write(ctx, t.x.call.Program, t.settlement()); err != nil {
+			h.Log.Warn("budget not settled", "request", t.x.call.ID, "program", t.x.call.Program, "tokens", t.tokens(), "error", err.Error())
+		}
+	})
+}
--- /dev/null
+++ b/daemon/entry/view.go
@@ -0,0 +1,141 @@
+package entry
+
+import (
+	"github.com/pistachioarch/pistachioarch/core/balance"
+	"github.com/pistachioarch/pistachioarch/core/routing"
+	"github.com/pistachioarch/pistachioarch/wire/objects"
+)
+
+// DecodeTable decodes a configuration object.
+type DecodeTable func(spec []byte) (*routing.Table, error)
+
+// ConfigView takes the configuration from the platform; an objects.Listener.
+type ConfigView struct {
+	host   *Host
+	name   string
+	decode DecodeTable
+	lost   bool
+}
+
+// NewConfigView returns the listener for the configuration object of that name.
+func NewConfigView(h *Host, name string, decode DecodeTable) *ConfigView {
+	return &ConfigView{host: h, name: name, decode: decode}
+}
+
+// Replaced implements objects.Listener.
+func (v *ConfigView) Replaced(s objects.Snapshot) {
+	v.back()
+	for _, o := range s.Items {
+		v.take(o)
+	}
+}
+
+// Changed implements objects.Listener.
+func (v *ConfigView) Changed(events []objects.Event) {
+	v.back()
+	for _, e := range events {
+		if !e.Removed {
+			v.take(e.Object)
+		}
+	}
+}
+
+// Lost implements objects.Listener: the configuration in force stays.
+func (v *ConfigView) Lost(err error) {
+	if !v.lost {
+		v.host.Log.Warn("platform lost", "view", "configuration", "error", err.Error())
+	}
+	v.lost = true
+}
+
+func (v *ConfigView) back() {
+	if v.lost {
+		v.host.Log.Info("platform regained", "view", "configuration")
+	}
+	v.lost = false
+}
+
+func (v *ConfigView) take(o objects.Object) {
+	if o.Name != v.name {
+		return
+	}
+	t, err := v.decode(o.Spec)
+	if err != nil {
+		v.host.Log.Error("configuration not taken", "revision", o.Revision, "error", err.Error())
+		return
+	}
+	if v.host.SetTable(t) {
+		v.host.Log.Info("configuration in force", "version", t.Version, "revision", o.Revision)
+	}
+}
+
+// SetTable puts a newer configuration in force.
+func (h *Host) SetTable(t *routing.Table) bool {
+	for {
+		old := h.table.Load()
+		if !t.Newer(old) {
+			return false
+		}
+		if h.table.CompareAndSwap(old, t) {
+			return true
+		}
+	}
+}
+
+// DecodeTarget decodes the entry of a target.
+type DecodeTarget func(id string, spec []byte) (balance.Listed, error)
+
+// TargetView takes the list of targets from the platform; an objects.Listener.
+type TargetView struct {
+	host   *Host
+	decode DecodeTarget
+}
+
+// NewTargetView returns the listener for the list of targets.
+func NewTargetView(h *Host, decode DecodeTarget) *TargetView {
+	return &TargetView{host: h, decode: decode}
+}
+
+// Replaced implements objects.Listener.
+func (v *TargetView) Replaced(s objects.Snapshot) {
+	ids := map[string]bool{}
+	for _, o := range s.Items {
+		ids[o.Name] = true
+		v.set(o)
+	}
+	v.host.mu.Lock()
+	defer v.host.mu.Unlock()
+	v.host.registry.Keep(ids)
+}
+
+// Changed implements objects.Listener.
+func (v *TargetView) Changed(events []objects.Event) {
+	for _, e := range events {
+		if !e.Removed {
+			v.set(e.Object)
+			continue
+		}
+		v.host.mu.Lock()
+		v.host.registry.Remove(e.Object.Name)
+		v.host.mu.Unlock()
+		v.host.Log.Info("target gone", "target", e.Object.Name)
+	}
+}
+
+// Lost implements objects.Listener: the list in use stays.
+func (v *TargetView) Lost(error) {}
+
+func (v *TargetView) set(o objects.Object) {
+	l, err := v.decode(o.Name, o.Spec)
+	if err != nil {
+		v.host.Log.Error("target not taken", "target", o.Name, "error", err.Error())
+		return
+	}
+	v.host.mu.Lock()
+	defer v.host.mu.Unlock()
+	old, known := v.host.registry.Target(l.ID)
+	if !known || old.Draining != l.Draining {
+		v.host.Log.Info("target listed", "target", l.ID, "service", l.Service, "draining", l.Draining)
+	}
+	v.host.registry.Set(l)
+}
--- /dev/null
+++ b/daemon/history/identity.go
@@ -0,0 +1,79 @@
+package history
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/core/placement"
+	"github.com/pistachioarch/pistachioarch/daemon/wal"
+)
+
+const (
+	memberFile = "member"
+	mapFile    = "slots.json"
+	idBytes    = 8
+)
+
+// loadMember returns the identity of the disk, making one on an empty disk.
+func loadMember(dir string) (string, error) {
+	text, err := os.ReadFile(filepath.Join(dir, memberFile))
+	if err == nil && len(text) > 0 {
+		return strings.TrimSpace(string(text)), nil
+	}
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return "", failure.Wrap(err, failure.Corrupt, "member file")
+	}
+	raw := make([]byte, idBytes)
+	if _, err := rand.Read(raw); err != nil {
+		return "", failure.Wrap(err, failure.Internal, "random member id")
+	}
+	id := hex.EncodeToString(raw)
+	return id, writeFile(dir, memberFile, []byte(id))
+}
+
+// loadMap returns the last slot map that this disk has seen, or nil.
+func loadMap(dir string) (*placement.Map, error) {
+	text, err := os.ReadFile(filepath.Join(dir, mapFile))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Corrupt, "slot map file")
+	}
+	m := &placement.Map{}
+	if err := json.Unmarshal(text, m); err != nil {
+		return nil, failure.Wrap(err, failure.Corrupt, "slot map file")
+	}
+	return m, nil
+}
+
+// writeFile replaces a file so that after a loss of power the old or the new
+// content is there.
+func writeFile(dir, name string, content []byte) error {
+	temp := filepath.Join(dir, name+".new")
+	f, err := os.Create(temp)
+	if err != nil {
+		return failure.Wrap(err, failure.Suspended, "create %s", name)
+	}
+	_, err = f.Write(content)
+	if err == nil {
+		err = f.Sync()
+	}
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return failure.Wrap(err, failure.Suspended, "write %s", name)
+	}
+	if err := os.Rename(temp, filepath.Join(dir, name)); err != nil {
+		return failure.Wrap(err, failure.Suspended, "rename %s", name)
+	}
+	return wal.SyncDir(dir)
+}
--- /dev/null
+++ b/daemon/history/keeper.go
@@ -0,0 +1,224 @@
+package history
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/core/placement"
+	"github.com/pistachioarch/pistachioarch/wire/objects"
+	"github.com/pistachioarch/pistachioarch/wire/rpc"
+)
+
+// Kind and MapName are where the slot map lies in the platform's store.
+const (
+	Kind    = "history"
+	MapName = "slots"
+)
+
+const (
+	// keeperEvery paces the keeper: a joining member starts its copy within a
+	// third of a second.
+	keeperEvery = 300 * time.Millisecond
+	// gatherFor is how long the first member waits for others before slots are
+	// assigned to those that are there; hosts of one system start within 0.3 s.
+	gatherFor = 2 * time.Second
+	// operationTimeout bounds one call to the platform's store.
+	operationTimeout = 2 * time.Second
+)
+
+// Retirements is where members learn which hosts are to be emptied.
+type Retirements interface {
+	// Retiring returns the hosts to be emptied.
+	Retiring() []string
+	// Report tells the operators of the progress with a host.
+	Report(ctx context.Context, host string, done bool) error
+}
+
+// Keeper keeps the slot map right as far as this member is concerned.
+type Keeper struct {
+	server      *Server
+	store       objects.Store
+	self        placement.Member
+	faults      int
+	retirements Retirements
+	peers       *peers
+	logger      *log.Logger
+	started     time.Time
+
+	mu       sync.Mutex
+	revision uint64 // of the map object; 0 if it does not exist
+	known    bool   // the map object was read, or its absence
+	reported map[string]bool
+}
+
+// NewKeeper returns the keeper of server's member.
+func NewKeeper(server *Server, store objects.Store, self placement.Member, faults int, r Retirements, dialer rpc.Dialer, logger *log.Logger) *Keeper {
+	k := &Keeper{
+		server: server, store: store, self: self, faults: faults, retirements: r,
+		peers: newPeers(dialer), logger: logger, started: time.Now(), reported: map[string]bool{},
+	}
+	server.refresh = k.refresh
+	return k
+}
+
+// Run follows the map and keeps it until the context ends.
+func (k *Keeper) Run(ctx context.Context) {
+	go objects.Follow(ctx, k.store, Kind, k)
+	tick := time.NewTicker(keeperEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			k.step(ctx)
+		}
+	}
+}
+
+// Replaced implements objects.Listener.
+func (k *Keeper) Replaced(s objects.Snapshot) {
+	k.mu.Lock()
+	k.known = true
+	k.mu.Unlock()
+	for _, o := range s.Items {
+		k.take(o)
+	}
+}
+
+// Changed implements objects.Listener.
+func (k *Keeper) Changed(events []objects.Event) {
+	for _, e := range events {
+		if !e.Removed {
+			k.take(e.Object)
+		}
+	}
+}
+
+// Lost implements objects.Listener.
+func (k *Keeper) Lost(err error) {
+	k.logger.Warn("platform does not answer", "kind", Kind, "error", err.Error())
+}
+
+// refresh reads the map once; a sender knew a newer one.
+func (k *Keeper) refresh() {
+	ctx, cancel := context.WithTimeout(context.Background(), operationTimeout)
+	defer cancel()
+	o, err := k.store.Get(ctx, Kind, MapName)
+	if err != nil {
+		k.logger.Warn("slot map not read", "error", err.Error())
+		return
+	}
+	k.take(o)
+}
+
+func (k *Keeper) take(o objects.Object) {
+	if o.Name != MapName {
+		return
+	}
+	m := &placement.Map{}
+	if err := json.Unmarshal(o.Spec, m); err != nil {
+		k.logger.Error("slot map cannot be decoded", "revision", o.Revision, "error", err.Error())
+		return
+	}
+	k.mu.Lock()
+	k.known = true
+	k.revision = max(k.revision, o.Revision)
+	k.mu.Unlock()
+	if err := k.server.Adopt(m); err != nil {
+		k.logger.Error("slot map not adopted", "epoch", m.Epoch, "error", err.Error())
+	}
+}
+
+// step does what this member has to do next, one thing at a time.
+func (k *Keeper) step(ctx context.Context) {
+	k.mu.Lock()
+	known, revision := k.known, k.revision
+	k.mu.Unlock()
+	if !known {
+		return
+	}
+	if revision == 0 {
+		k.create(ctx)
+		return
+	}
+	m := k.server.Map()
+	if m == nil {
+		return
+	}
+	if known, in := m.Members[k.self.ID]; !in || known != k.self {
+		k.change(ctx, "member admitted", func(m *placement.Map) bool { return m.Admit(k.self) })
+		return
+	}
+	if !m.Assigned() {
+		if len(m.Members) > m.SetSize() || time.Since(k.started) > gatherFor {
+			k.change(ctx, "slots assigned", assign)
+		}
+		return
+	}
+	k.join(ctx, m)
+	k.peers.probe(ctx, m, k.self.ID)
+	k.repair(ctx, m)
+}
+
+func assign(m *placement.Map) bool {
+	if m.Assigned() {
+		return false
+	}
+	m.Assign()
+	return true
+}
+
+func (k *Keeper) create(ctx context.Context) {
+	m := placement.New(k.faults)
+	m.Admit(k.self)
+	text, err := json.Marshal(m)
+	if err != nil {
+		k.logger.Error("slot map cannot be encoded", "error", err.Error())
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, operationTimeout)
+	defer cancel()
+	o, err := k.store.Create(ctx, Kind, MapName, text)
+	if failure.Is(err, failure.Conflict) {
+		k.refresh()
+		return
+	}
+	if err != nil {
+		k.logger.Warn("slot map not created", "error", err.Error())
+		return
+	}
+	k.take(o)
+}
+
+// change applies a change to the newest map by conditional update. A lost race or
+// a lost answer is seen at the next step, in the map itself.
+func (k *Keeper) change(ctx context.Context, what string, apply func(*placement.Map) bool) {
+	k.mu.Lock()
+	revision := k.revision
+	k.mu.Unlock()
+	m := k.server.Map().Clone()
+	if !apply(m) {
+		return
+	}
+	text, err := json.Marshal(m)
+	if err != nil {
+		k.logger.Error("slot map cannot be encoded", "error", err.Error())
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, operationTimeout)
+	defer cancel()
+	o, err := k.store.Update(ctx, Kind, MapName, revision, text)
+	if err != nil {
+		k.logger.Info("slot map not changed", "change", what, "epoch", m.Epoch, "revision", revision, "error", err.Error())
+		k.refresh()
+		return
+	}
+	k.logger.Info("slot map changed", "change", what, "epoch", m.Epoch, "revision", o.Revision)
+	k.take(o)
+}
--- /dev/null
+++ b/daemon/history/repair.go
@@ -0,0 +1,175 @@
+package history
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pistachioarch/pistachioarch/core/historypb"
+	"github.com/pistachioarch/pistachioarch/core/placement"
+	"github.com/pistachioarch/pistachioarch/wire/rpc"
+)
+
+const (
+	// probeTimeout bounds one probe of a member.
+	probeTimeout = 500 * time.Millisecond
+	// replaceSoon is how long a member must be silent before a member without
+	// slots takes its places: a successor is there, so waiting gains nothing but
+	// the copy of a host that only restarts (1 to 1.5 s).
+	replaceSoon = 2 * time.Second
+	// replaceLate is the same where only members with slots could take them: a
+	// slot serves with one replica silent, so a host that reboots is waited for.
+	replaceLate = 15 * time.Second
+)
+
+// peers are the connections to other members, and since when each is silent.
+type peers struct {
+	dialer  rpc.Dialer
+	mu      sync.Mutex
+	clients map[string]*rpc.Client
+	silent  map[string]time.Time // by member id
+}
+
+func newPeers(dialer rpc.Dialer) *peers {
+	return &peers{dialer: dialer, clients: map[string]*rpc.Client{}, silent: map[string]time.Time{}}
+}
+
+func (p *peers) client(address string) *rpc.Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.clients[address]
+	if c == nil {
+		c = rpc.NewClient(address, p.dialer)
+		p.clients[address] = c
+	}
+	return c
+}
+
+// probe asks every other member for a sign of life.
+func (p *peers) probe(ctx context.Context, m *placement.Map, self string) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var wait sync.WaitGroup
+	for id, x := range m.Members {
+		if id == self {
+			continue
+		}
+		wait.Go(func() {
+			reply, err := p.client(x.Address).Call(ctx, &historypb.Request{Member: id, Call: &historypb.Request_Ping{Ping: &historypb.Ping{}}})
+			p.note(id, err == nil && reply.Status == historypb.Status_STATUS_OK)
+		})
+	}
+	wait.Wait()
+}
+
+func (p *peers) note(id string, alive bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if alive {
+		delete(p.silent, id)
+		return
+	}
+	if _, known := p.silent[id]; !known {
+		p.silent[id] = time.Now()
+	}
+}
+
+// silentFor returns the members that do not answer, with the time since.
+func (p *peers) silentFor() map[string]time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := make(map[string]time.Duration, len(p.silent))
+	for id, since := range p.silent {
+		list[id] = time.Since(since)
+	}
+	return list
+}
+
+// repair moves slots away from members that are silent or retiring. Of the
+// members that answer, the one with the lowest id acts; the conditional update
+// sorts out two that both think so.
+func (k *Keeper) repair(ctx context.Context, m *placement.Map) {
+	silent := k.peers.silentFor()
+	if !k.acts(m, silent) {
+		return
+	}
+	exclude := map[string]bool{}
+	for id := range silent {
+		exclude[id] = true
+	}
+	retiring := k.retiring(m)
+	for _, id := range retiring {
+		exclude[id] = true
+	}
+	for _, id := range retiring {
+		k.retire(ctx, m, id, exclude)
+	}
+	for id, since := range silent {
+		if _, in := m.Members[id]; in && since > patience(m, exclude) {
+			k.change(ctx, "silent member replaced", func(m *placement.Map) bool {
+				return m.Replace(id, exclude) || m.Forget(id)
+			})
+		}
+	}
+}
+
+func (k *Keeper) acts(m *placement.Map, silent map[string]time.Duration) bool {
+	for id := range m.Members {
+		if _, quiet := silent[id]; !quiet && id < k.self.ID {
+			return false
+		}
+	}
+	return true
+}
+
+// patience is how long a silent member is waited for.
+func patience(m *placement.Map, exclude map[string]bool) time.Duration {
+	for id := range m.Members {
+		if !exclude[id] && !m.Holds(id) {
+			return replaceSoon
+		}
+	}
+	return replaceLate
+}
+
+// retiring returns the members on hosts that are to be emptied.
+func (k *Keeper) retiring(m *placement.Map) []string {
+	hosts := k.retirements.Retiring()
+	var ids []string
+	for id, x := range m.Members {
+		if slices.Contains(hosts, x.Host) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// retire moves the slots of a member away and reports the progress.
+func (k *Keeper) retire(ctx context.Context, m *placement.Map, id string, exclude map[string]bool) {
+	host := m.Members[id].Host
+	if m.Holds(id) {
+		k.report(ctx, host, false)
+		k.change(ctx, "retiring member replaced", func(m *placement.Map) bool { return m.Replace(id, exclude) })
+		return
+	}
+	k.report(ctx, host, true)
+}
+
+func (k *Keeper) report(ctx context.Context, host string, done bool) {
+	key := host
+	if done {
+		key += " done"
+	}
+	if k.reported[key] {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, operationTimeout)
+	defer cancel()
+	if err := k.retirements.Report(ctx, host, done); err != nil {
+		k.logger.Warn("retirement not reported", "host", host, "done", done, "error", err.Error())
+		return
+	}
+	k.logger.Info("retirement reported", "host", host, "done", done)
+	k.reported[key] = true
+}
--- /dev/null
+++ b/daemon/history/server.go
@@ -0,0 +1,276 @@
+package history
+
+import (
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/core/historypb"
+	"github.com/pistachioarch/pistachioarch/core/ledger"
+	"github.com/pistachioarch/pistachioarch/core/placement"
+	"github.com/pistachioarch/pistachioarch/daemon/wal"
+)
+
+const (
+	// pageBytes bounds one page of a copy, so that a page delays other replies on
+	// its connection by a few milliseconds at 130 Mbit/s.
+	pageBytes = 64 << 10
+	// sweepEvery is how often programs past their retention are dropped.
+	sweepEvery = 5 * time.Second
+	// segmentSlack is kept beyond the retention before a segment is dropped.
+	segmentSlack = 10 * time.Second
+)
+
+// Server answers entry hosts and joining members. Safe for concurrent use.
+type Server struct {
+	member    string
+	dir       string
+	log       *wal.Log
+	logger    *log.Logger
+	retention time.Duration
+
+	mu       sync.Mutex
+	ledger   *ledger.Ledger
+	slots    *placement.Map
+	mapBytes []byte
+	// refresh is called when a sender knows a newer map.
+	refresh func()
+}
+
+// OpenServer replays the journal in dir.
+func OpenServer(dir string, retention time.Duration, logger *log.Logger) (*Server, error) {
+	s := &Server{dir: dir, logger: logger, retention: retention, ledger: ledger.New(), refresh: func() {}}
+	records := 0
+	var damage []wal.Damage
+	var err error
+	s.log, damage, err = wal.Open(dir, func(r *historypb.Record) {
+		records++
+		s.ledger.Apply(r)
+	})
+	if err != nil {
+		return nil, err
+	}
+	for _, d := range damage {
+		logger.Warn("journal segment ends in a damaged record", "file", d.File, "offset", d.Offset)
+	}
+	if s.member, err = loadMember(dir); err != nil {
+		return nil, err
+	}
+	m, err := loadMap(dir)
+	if err != nil {
+		return nil, err
+	}
+	if m != nil {
+		s.setMap(m)
+	}
+	logger.Info("journal replayed", "member", s.member, "records", records, "programs", s.ledger.Programs())
+	return s, nil
+}
+
+// Member is the identity of the disk.
+func (s *Server) Member() string { return s.member }
+
+// Map returns the slot map in use, or nil.
+func (s *Server) Map() *placement.Map {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.slots
+}
+
+// Adopt takes a newer slot map, on disk first: what a copy fenced stays fenced
+// over a restart without the platform.
+func (s *Server) Adopt(m *placement.Map) error {
+	s.mu.Lock()
+	old := s.slots
+	s.mu.Unlock()
+	if old != nil && old.Epoch >= m.Epoch {
+		return nil
+	}
+	text, err := json.Marshal(m)
+	if err != nil {
+		return failure.Wrap(err, failure.Internal, "encode slot map")
+	}
+	if err := writeFile(s.dir, mapFile, text); err != nil {
+		return err
+	}
+	s.setMap(m)
+	s.logger.Info("slot map adopted", "epoch", m.Epoch, "members", len(m.Members))
+	return nil
+}
+
+func (s *Server) setMap(m *placement.Map) {
+	text, err := json.Marshal(m)
+	if err != nil {
+		s.logger.Error("slot map cannot be encoded", "error", err.Error())
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.slots == nil || m.Epoch > s.slots.Epoch {
+		s.slots, s.mapBytes = m, text
+	}
+}
+
+// Handle answers one request; it is an rpc.Handler.
+func (s *Server) Handle(req *historypb.Request, answer func(*historypb.Reply)) {
+	if reply := s.refuse(req); reply != nil {
+		answer(reply)
+		return
+	}
+	switch call := req.Call.(type) {
+	case *historypb.Request_Write:
+		s.write(call.Write, answer)
+	case *historypb.Request_Read:
+		answer(s.read(call.Read))
+	case *historypb.Request_Copy:
+		s.copy(req.Slot, call.Copy, answer)
+	default:
+		answer(&historypb.Reply{Status: historypb.Status_STATUS_OK})
+	}
+}
+
+// refuse returns the reply to a request that must not be served, or nil.
+func (s *Server) refuse(req *historypb.Request) *historypb.Reply {
+	if req.Member != s.member {
+		return &historypb.Reply{Status: historypb.Status_STATUS_WRONG_MEMBER}
+	}
+	if _, ping := req.Call.(*historypb.Request_Ping); ping {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.slots == nil || int(req.Slot) >= len(s.slots.Slots) {
+		return &historypb.Reply{Status: historypb.Status_STATUS_UNAVAILABLE}
+	}
+	if req.Epoch > s.slots.Epoch {
+		go s.refresh()
+		if _, copying := req.Call.(*historypb.Request_Copy); copying {
+			// Only a member that refuses older writers may be copied from.
+			return &historypb.Reply{Status: historypb.Status_STATUS_UNAVAILABLE}
+		}
+	}
+	if req.Epoch < s.fence(req) {
+		return &historypb.Reply{Status: historypb.Status_STATUS_STALE_EPOCH, SlotMap: s.mapBytes}
+	}
+	return nil
+}
+
+// fence is the oldest epoch whose map is right about what the request touches.
+func (s *Server) fence(req *historypb.Request) uint64 {
+	if req.GetRead().GetAnySlot() {
+		return s.slots.Epoch
+	}
+	return s.slots.Slots[req.Slot].Changed
+}
+
+func (s *Server) write(w *historypb.Write, answer func(*historypb.Reply)) {
+	s.Store(w.Records, func(err error) {
+		if err != nil {
+			answer(&historypb.Reply{Status: historypb.Status_STATUS_UNAVAILABLE})
+			return
+		}
+		answer(&historypb.Reply{Status: historypb.Status_STATUS_OK})
+	})
+}
+
+// Store makes records durable, then applies them.
+func (s *Server) Store(records []*historypb.Record, done wal.Done) {
+	s.log.Append(records, func(err error) {
+		if err != nil {
+			s.logger.Error("journal write failed", "records", len(records), "error", err.Error())
+			done(err)
+			return
+		}
+		s.mu.Lock()
+		for _, r := range records {
+			s.ledger.Apply(r)
+		}
+		s.mu.Unlock()
+		done(nil)
+	})
+}
+
+func (s *Server) read(r *historypb.Read) *historypb.Reply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &historypb.Reply{
+		Status:   historypb.Status_STATUS_OK,
+		Spending: s.ledger.Spending(r.Program),
+		Chain:    s.ledger.Chain(r.Turn, r.Known),
+	}
+}
+
+// copy returns a page of a slot. The first page waits for the writes that were
+// under way when older writers began to be refused.
+func (s *Server) copy(slot uint32, c *historypb.Copy, answer func(*historypb.Reply)) {
+	page := func(err error) {
+		if err != nil {
+			answer(&historypb.Reply{Status: historypb.Status_STATUS_UNAVAILABLE})
+			return
+		}
+		s.mu.Lock()
+		records, more := s.ledger.Page(slot, c.After, pageBytes)
+		s.mu.Unlock()
+		answer(&historypb.Reply{Status: historypb.Status_STATUS_OK, Records: records, More: more})
+	}
+	if c.After != "" {
+		page(nil)
+		return
+	}
+	s.log.Append(nil, page)
+}
+
+// Sweep drops programs past their retention and old segments, until stop.
+func (s *Server) Sweep(stop <-chan struct{}) {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-tick.C:
+			s.sweep(time.Now().UnixMilli())
+		}
+	}
+}
+
+func (s *Server) sweep(nowMs int64) {
+	s.mu.Lock()
+	dropped := s.ledger.Expire(nowMs, s.retention+segmentSlack)
+	s.mu.Unlock()
+	if dropped > 0 {
+		s.logger.Info("programs past their retention dropped", "programs", dropped)
+	}
+	for {
+		programs, newest, ok := s.log.Oldest()
+		if !ok || newest > nowMs-(s.retention+segmentSlack).Milliseconds() {
+			return
+		}
+		if !s.carry(programs) {
+			return
+		}
+		if err := s.log.DropOldest(); err != nil {
+			s.logger.Error("old segment not dropped", "error", err.Error())
+			return
+		}
+	}
+}
+
+// carry appends anew what is still live of the programs.
+func (s *Server) carry(programs []string) bool {
+	var records []*historypb.Record
+	s.mu.Lock()
+	for _, name := range programs {
+		records = append(records, s.ledger.Program(name)...)
+	}
+	s.mu.Unlock()
+	done := make(chan error, 1)
+	s.log.Append(records, func(err error) { done <- err })
+	return <-done == nil
+}
+
+// Close writes out what is queued.
+func (s *Server) Close() { s.log.Close() }
--- /dev/null
+++ b/daemon/quorum/quorum.go
@@ -0,0 +1,204 @@
+// Package quorum is the entry host's side of the programs' history: it writes
+// records to the replicas of a program's slot and reads from them, as the slot
+// map says. A write is done when the map says that enough replicas have it on
+// disk; a read is complete when enough active replicas have answered.
+package quorum
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/core/historypb"
+	"github.com/pistachioarch/pistachioarch/core/placement"
+	"github.com/pistachioarch/pistachioarch/wire/objects"
+	"github.com/pistachioarch/pistachioarch/wire/rpc"
+)
+
+// Client reaches the history hosts. Safe for concurrent use.
+type Client struct {
+	dialer     rpc.Dialer
+	dataCentre string
+	logger     *log.Logger
+
+	mu      sync.Mutex
+	slots   *placement.Map
+	clients map[string]*rpc.Client
+}
+
+// New returns a client without a slot map. Replicas of dataCentre are read first.
+func New(dialer rpc.Dialer, dataCentre string, logger *log.Logger) *Client {
+	return &Client{dialer: dialer, dataCentre: dataCentre, logger: logger, clients: map[string]*rpc.Client{}}
+}
+
+// Ready reports whether a slot map with replicas is known.
+func (c *Client) Ready() bool {
+	m := c.current()
+	return m != nil && m.Assigned()
+}
+
+func (c *Client) current() *placement.Map {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.slots
+}
+
+// adopt takes the map if it is newer than the one in use.
+func (c *Client) adopt(text []byte, source string) {
+	m := &placement.Map{}
+	if err := json.Unmarshal(text, m); err != nil {
+		c.logger.Error("slot map cannot be decoded", "source", source, "error", err.Error())
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.slots != nil && c.slots.Epoch >= m.Epoch {
+		return
+	}
+	c.slots = m
+	c.drop(m)
+	c.logger.Info("slot map adopted", "epoch", m.Epoch, "source", source)
+}
+
+// drop closes the connections to members that are gone.
+func (c *Client) drop(m *placement.Map) {
+	wanted := map[string]bool{}
+	for _, x := range m.Members {
+		wanted[x.Address] = true
+	}
+	for address, client := range c.clients {
+		if !wanted[address] {
+			client.Close()
+			delete(c.clients, address)
+		}
+	}
+}
+
+func (c *Client) client(address string) *rpc.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	x := c.clients[address]
+	if x == nil {
+		x = rpc.NewClient(address, c.dialer)
+		c.clients[address] = x
+	}
+	return x
+}
+
+// Replaced implements objects.Listener.
+func (c *Client) Replaced(s objects.Snapshot) {
+	for _, o := range s.Items {
+		c.adopt(o.Spec, "platform")
+	}
+}
+
+// Changed implements objects.Listener.
+func (c *Client) Changed(events []objects.Event) {
+	for _, e := range events {
+		if !e.Removed {
+			c.adopt(e.Object.Spec, "platform")
+		}
+	}
+}
+
+// Lost implements objects.Listener. The map in use stays: history hosts hand out
+// a newer one themselves.
+func (c *Client) Lost(err error) {
+	c.logger.Warn("platform does not answer", "kind", "history", "error", err.Error())
+}
+
+// replyFrom is the answer of one member.
+type replyFrom struct {
+	member string
+	reply  *historypb.Reply
+	err    error
+}
+
+// scatter sends a request to each of the members and returns their answers as
+// they come. The request for a member is made by build.
+func (c *Client) scatter(ctx context.Context, m *placement.Map, slot uint32, members []string, build func(member string) *historypb.Request) <-chan replyFrom {
+	answers := make(chan replyFrom, len(members))
+	for _, id := range members {
+		req := build(id)
+		req.Member, req.Slot, req.Epoch = id, slot, m.Epoch
+		client := c.client(m.Members[id].Address)
+		go func() {
+			reply, err := client.Call(ctx, req)
+			if err == nil && reply.Status != historypb.Status_STATUS_OK {
+				if reply.Status == historypb.Status_STATUS_STALE_EPOCH {
+					c.adopt(reply.SlotMap, "member "+id)
+				}
+				err = failure.New(failure.PeerUnavailable, "member %s: %s", id, reply.Status)
+			}
+			answers <- replyFrom{id, reply, err}
+		}()
+	}
+	return answers
+}
+
+// retryPause is between two tries with the replicas of a slot: long enough for a
+// process that was killed to be back, short against a caller's patience.
+const retryPause = 50 * time.Millisecond
+
+// Write makes records of one program durable. It goes on trying until the
+// context ends; records may be written more than once.
+func (c *Client) Write(ctx context.Context, program string, records ...*historypb.Record) error {
+	now := time.Now().UnixMilli()
+	for _, r := range records {
+		r.Slot, r.Program, r.WrittenMs = placement.SlotOf(program), program, now
+	}
+	for {
+		err := c.writeOnce(ctx, records)
+		if err == nil {
+			return nil
+		}
+		if !pause(ctx) {
+			return err
+		}
+	}
+}
+
+func pause(ctx context.Context) bool {
+	t := time.NewTimer(retryPause)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (c *Client) writeOnce(ctx context.Context, records []*historypb.Record) error {
+	m := c.current()
+	if m == nil || !m.Assigned() {
+		return failure.New(failure.HistoryUnavailable, "no slot map")
+	}
+	slot := records[0].Slot
+	s := &m.Slots[slot]
+	members := make([]string, 0, len(s.Replicas))
+	for _, r := range s.Replicas {
+		members = append(members, r.Member)
+	}
+	answers := c.scatter(ctx, m, slot, members, func(string) *historypb.Request {
+		return &historypb.Request{Call: &historypb.Request_Write{Write: &historypb.Write{Records: records}}}
+	})
+	acks := map[string]bool{}
+	var last error
+	for range members {
+		a := <-answers
+		if a.err != nil {
+			last = a.err
+			continue
+		}
+		acks[a.member] = true
+		if m.Written(s, acks) {
+			return nil
+		}
+	}
+	return failure.Wrap(last, failure.HistoryUnavailable, "%d of %d replicas of slot %d wrote", len(acks), len(members), slot)
+}
--- /dev/null
+++ b/daemon/quorum/read.go
@@ -0,0 +1,187 @@
+package quorum
+
+import (
+	"context"
+
+	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/core/historypb"
+	"github.com/pistachioarch/pistachioarch/core/ledger"
+	"github.com/pistachioarch/pistachioarch/core/placement"
+)
+
+// Past is what the history hosts know of a program.
+type Past struct {
+	Usage ledger.Usage
+	// Chain is the chain of turns asked for, newest first.
+	Chain []*historypb.Turn
+	// Elsewhere reports that the chain was kept by another program.
+	Elsewhere bool
+}
+
+// Read returns the budget use of a program, and the chain that ends with turn
+// unless that is empty. It fails with UnknownTurn only if every place where the
+// turn could be was asked, and with HistoryUnavailable if not enough answered.
+func (c *Client) Read(ctx context.Context, program, turn string) (*Past, error) {
+	for {
+		past, err := c.readOnce(ctx, program, turn)
+		if err == nil || failure.Is(err, failure.UnknownTurn) {
+			return past, err
+		}
+		if !pause(ctx) {
+			return nil, err
+		}
+	}
+}
+
+func (c *Client) readOnce(ctx context.Context, program, turn string) (*Past, error) {
+	m := c.current()
+	if m == nil || !m.Assigned() {
+		return nil, failure.New(failure.HistoryUnavailable, "no slot map")
+	}
+	slot := placement.SlotOf(program)
+	past := &Past{}
+	turns := map[string]*historypb.Turn{}
+	// One replica sends the chain; the others confirm the budget.
+	first := c.nearest(m, &m.Slots[slot])
+	err := c.gather(ctx, m, slot, func(member string) *historypb.Read {
+		if member == first {
+			return &historypb.Read{Program: program, Turn: turn}
+		}
+		return &historypb.Read{Program: program}
+	}, func(r *historypb.Reply) {
+		past.Usage.Merge(r.Spending)
+		collect(turns, r.Chain)
+	})
+	if err != nil {
+		return nil, err
+	}
+	missing := past.link(turn, turns)
+	for missing != "" {
+		if err := c.find(ctx, m, slot, missing, turns); err != nil {
+			return nil, err
+		}
+		if turns[missing] == nil {
+			past.Elsewhere = true
+			if err := c.findAnywhere(ctx, m, missing, turns); err != nil {
+				return nil, err
+			}
+		}
+		missing = past.link(turn, turns)
+	}
+	return past, nil
+}
+
+func collect(turns map[string]*historypb.Turn, chain []*historypb.Turn) {
+	for _, t := range chain {
+		turns[t.Turn] = t
+	}
+}
+
+// link rebuilds the chain from the turns at hand and returns the one missing.
+func (p *Past) link(turn string, turns map[string]*historypb.Turn) (missing string) {
+	p.Chain = p.Chain[:0]
+	for turn != "" {
+		t := turns[turn]
+		if t == nil {
+			return turn
+		}
+		p.Chain = append(p.Chain, t)
+		turn = t.Previous
+	}
+	return ""
+}
+
+// nearest returns the active replica to read a chain from.
+func (c *Client) nearest(m *placement.Map, s *placement.Slot) string {
+	best := ""
+	for _, r := range s.Replicas {
+		if r.Joining {
+			continue
+		}
+		if best == "" || m.Members[r.Member].DataCentre == c.dataCentre {
+			best = r.Member
+		}
+	}
+	return best
+}
+
+// gather reads from the active replicas of a slot until the read is complete.
+func (c *Client) gather(ctx context.Context, m *placement.Map, slot uint32, build func(string) *historypb.Read, take func(*historypb.Reply)) error {
+	s := &m.Slots[slot]
+	var members []string
+	for _, r := range s.Replicas {
+		if !r.Joining {
+			members = append(members, r.Member)
+		}
+	}
+	answers := c.scatter(ctx, m, slot, members, func(member string) *historypb.Request {
+		return &historypb.Request{Call: &historypb.Request_Read{Read: build(member)}}
+	})
+	need := m.ReadQuorum(s)
+	var last error
+	for range members {
+		a := <-answers
+		if a.err != nil {
+			last = a.err
+			continue
+		}
+		take(a.reply)
+		need--
+		if need == 0 {
+			return nil
+		}
+	}
+	return failure.Wrap(last, failure.HistoryUnavailable, "%d replicas of slot %d missing", need, slot)
+}
+
+// find asks the replicas of a slot for a turn and those before it.
+func (c *Client) find(ctx context.Context, m *placement.Map, slot uint32, turn string, turns map[string]*historypb.Turn) error {
+	return c.gather(ctx, m, slot,
+		func(string) *historypb.Read { return &historypb.Read{Turn: turn} },
+		func(r *historypb.Reply) { collect(turns, r.Chain) })
+}
+
+// findAnywhere asks all members for a turn that another program may have kept.
+// It fails with UnknownTurn if every slot's active replicas answered in number.
+func (c *Client) findAnywhere(ctx context.Context, m *placement.Map, turn string, turns map[string]*historypb.Turn) error {
+	members := make([]string, 0, len(m.Members))
+	for id := range m.Members {
+		members = append(members, id)
+	}
+	answers := c.scatter(ctx, m, 0, members, func(string) *historypb.Request {
+		return &historypb.Request{Call: &historypb.Request_Read{Read: &historypb.Read{Turn: turn, AnySlot: true}}}
+	})
+	answered := map[string]bool{}
+	for range members {
+		a := <-answers
+		if a.err != nil {
+			continue
+		}
+		answered[a.member] = true
+		collect(turns, a.reply.Chain)
+		if turns[turn] != nil {
+			return nil
+		}
+	}
+	if !covers(m, answered) {
+		return failure.New(failure.HistoryUnavailable, "turn %s not found, %d of %d members answered", turn, len(answered), len(members))
+	}
+	return failure.New(failure.UnknownTurn, "turn %s", turn)
+}
+
+// covers reports whether the members together hold every acknowledged record.
+func covers(m *placement.Map, answered map[string]bool) bool {
+	for i := range m.Slots {
+		s := &m.Slots[i]
+		n := 0
+		for _, r := range s.Replicas {
+			if !r.Joining && answered[r.Member] {
+				n++
+			}
+		}
+		if n < m.ReadQuorum(s) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/daemon/settings/role.go
@@ -0,0 +1,84 @@
+package settings
+
+import (
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"gopkg.in/ini.v1"
+
+	"github.com/pistachioarch/pistachioarch/core/failure"
+)
+
+// Role is the settings of an entry or history role.
+type Role struct {
+	Host, DataCentre, DataFolder string
+	// Address is the host's own IP number.
+	Address                   string
+	CallerListen, ReadyListen string
+	// HistoryPort is where history hosts listen for entry hosts.
+	HistoryPort     int
+	PlatformAddress string
+	MemoryBytes     int64
+	Descriptors     int
+	// FaultHosts is how many history hosts may be lost at once.
+	FaultHosts int
+	// Grace is the time from the order to stop to the kill.
+	Grace time.Duration
+}
+
+// HistoryListen is the address that history hosts listen on.
+func (r *Role) HistoryListen() string {
+	return net.JoinHostPort(r.Address, strconv.Itoa(r.HistoryPort))
+}
+
+// LoadRole reads and checks the settings of a role. The error is Faults, or a
+// Failure if the file cannot be read.
+func LoadRole(path string) (*Role, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.InvalidSetting, "settings file")
+	}
+	return ParseRole(text)
+}
+
+// ParseRole checks the text of a role's settings.
+func ParseRole(text []byte) (*Role, error) {
+	f, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, text)
+	if err != nil {
+		return nil, Faults{{Reason: "not INI: " + err.Error()}}
+	}
+	r := &reader{file: f, used: map[string]bool{}}
+	s := &Role{
+		Host:            r.text("host", "name", ""),
+		DataCentre:      r.text("host", "data_centre", ""),
+		DataFolder:      r.text("host", "data_folder", ""),
+		Address:         r.text("listen", "address", ""),
+		CallerListen:    r.address("listen", "callers", ""),
+		ReadyListen:     r.address("listen", "ready", ""),
+		HistoryPort:     int(r.integer("listen", "first_internal_port", 0, 1, 65535)),
+		PlatformAddress: r.address("platform", "address", ""),
+		MemoryBytes:     r.integer("limits", "memory_mb", 0, 16, 1<<20) << 20,
+		Descriptors:     int(r.integer("limits", "descriptors", 0, 256, 1<<24)),
+		FaultHosts:      int(r.integer("faults", "hosts", 1, 0, 16)),
+		Grace:           time.Duration(r.integer("timing", "grace_s", 8, 1, 3600)) * time.Second,
+	}
+	r.required("host", "name", s.Host)
+	r.required("host", "data_centre", s.DataCentre)
+	r.required("platform", "address", s.PlatformAddress)
+	if net.ParseIP(s.Address) == nil {
+		r.fault("listen", "address", "%q is not an IP number", s.Address)
+	}
+	r.checkUnknown()
+	if len(r.faults) > 0 {
+		return nil, r.faults
+	}
+	return s, nil
+}
+
+func (r *reader) required(section, key, value string) {
+	if value == "" {
+		r.fault(section, key, "is missing")
+	}
+}
--- /dev/null
+++ b/daemon/wal/trim.go
@@ -0,0 +1,53 @@
+package wal
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/pistachioarch/pistachioarch/core/failure"
+)
+
+// Oldest returns the programs with records in the oldest segment and the time of
+// its newest record, if there is a segment besides the one being written.
+func (l *Log) Oldest() (programs []string, newestMs int64, ok bool) {
+	l.segMu.Lock()
+	defer l.segMu.Unlock()
+	if len(l.segments) < 2 {
+		return nil, 0, false
+	}
+	s := l.segments[0]
+	for name := range s.programs {
+		programs = append(programs, name)
+	}
+	return programs, s.newestMs, true
+}
+
+// DropOldest removes the oldest segment. What was live in it must have been
+// appended anew and be durable.
+func (l *Log) DropOldest() error {
+	l.segMu.Lock()
+	if len(l.segments) < 2 {
+		l.segMu.Unlock()
+		return nil
+	}
+	s := l.segments[0]
+	l.segments = l.segments[1:]
+	l.segMu.Unlock()
+	name := filepath.Join(l.dir, fmt.Sprintf("%016d%s", s.number, suffix))
+	if err := os.Remove(name); err != nil {
+		return failure.Wrap(err, failure.Suspended, "remove segment")
+	}
+	return SyncDir(l.dir)
+}
+
+// Bytes is the size of all segments.
+func (l *Log) Bytes() int64 {
+	l.segMu.Lock()
+	defer l.segMu.Unlock()
+	total := int64(0)
+	for _, s := range l.segments {
+		total += s.size
+	}
+	return total
+}
--- /dev/null
+++ b/wire/objects/follow.go
@@ -0,0 +1,79 @@
+package objects
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v4"
+
+	"github.com/pistachioarch/pistachioarch/core/failure"
+)
+
+const (
+	// retryFirst and retryMost pace reads of a store that fails: soon enough that a
+	// host is up to date well within the second after an outage, seldom enough that
+	// an outage costs each host a few calls a second.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 500 * time.Millisecond
+)
+
+// Listener is told of the objects of one kind. Calls come from one goroutine.
+type Listener interface {
+	// Replaced gives all objects; those not among them are gone.
+	Replaced(Snapshot)
+	// Changed gives the changes since, in order.
+	Changed([]Event)
+	// Lost tells that the store does not answer; the next call to Replaced or
+	// Changed tells that it does again.
+	Lost(error)
+}
+
+// Follow lists a kind and watches it until the context ends. A watch that breaks
+// goes on from where it was; one whose history is gone begins with a new list.
+func Follow(ctx context.Context, store Store, kind string, to Listener) {
+	pause := newPause()
+	for ctx.Err() == nil {
+		snapshot, err := store.List(ctx, kind)
+		if err != nil {
+			to.Lost(err)
+			sleep(ctx, pause.NextBackOff())
+			continue
+		}
+		pause.Reset()
+		to.Replaced(snapshot)
+		watch(ctx, store, kind, snapshot.Revision, to)
+	}
+}
+
+// watch returns when a new list is needed.
+func watch(ctx context.Context, store Store, kind string, revision uint64, to Listener) {
+	pause := newPause()
+	for ctx.Err() == nil {
+		changes, err := store.Watch(ctx, kind, revision)
+		if failure.Is(err, failure.HistoryGone) {
+			return
+		}
+		if err != nil {
+			to.Lost(err)
+			sleep(ctx, pause.NextBackOff())
+			continue
+		}
+		pause.Reset()
+		revision = changes.Revision
+		to.Changed(changes.Events)
+	}
+}
+
+func newPause() *backoff.ExponentialBackOff {
+	return backoff.NewExponentialBackOff(
+		backoff.WithInitialInterval(retryFirst), backoff.WithMaxInterval(retryMost), backoff.WithMaxElapsedTime(0))
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/wire/rpc/client.go
@@ -0,0 +1,250 @@
+package rpc
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/core/historypb"
+	"github.com/pistachioarch/pistachioarch/wire/frame"
+)
+
+// Dialer opens connections; *net.Dialer is one.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+const (
+	// dialTimeout bounds one dial: well above a round trip between data centres
+	// (some ms), well below the time a caller waits (seconds).
+	dialTimeout = 500 * time.Millisecond
+	// redialPause keeps a host that is down from being dialled by every call.
+	redialPause = 100 * time.Millisecond
+	// silenceLimit closes a connection on which calls wait and nothing arrives.
+	// A partition leaves connections hanging; a new one finds out in one dial.
+	silenceLimit = 400 * time.Millisecond
+)
+
+// Client is the connection to one member. Safe for concurrent use.
+type Client struct {
+	address string
+	dialer  Dialer
+
+	mu        sync.Mutex
+	link      *link
+	dialing   chan struct{} // closed when the dial under way ends
+	dialError error
+	nextDial  time.Time
+	closed    bool
+}
+
+// NewClient returns a client of the member at address. It dials on first use.
+func NewClient(address string, dialer Dialer) *Client {
+	return &Client{address: address, dialer: dialer}
+}
+
+// Address is where the client connects to.
+func (c *Client) Address() string { return c.address }
+
+// Call sends a request and waits for its reply. Any error means that the member
+// may or may not have acted.
+func (c *Client) Call(ctx context.Context, req *historypb.Request) (*historypb.Reply, error) {
+	l, err := c.connected(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return l.call(ctx, req)
+}
+
+// Close ends the connection; later calls fail.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	if c.link != nil {
+		c.link.close(failure.New(failure.PeerUnavailable, "client closed"))
+	}
+}
+
+// connected returns a live link, dialling if there is none.
+func (c *Client) connected(ctx context.Context) (*link, error) {
+	for {
+		c.mu.Lock()
+		if c.closed {
+			c.mu.Unlock()
+			return nil, failure.New(failure.PeerUnavailable, "client of %s is closed", c.address)
+		}
+		if c.link != nil && !c.link.ended() {
+			defer c.mu.Unlock()
+			return c.link, nil
+		}
+		if c.dialing == nil {
+			if now := time.Now(); now.Before(c.nextDial) && c.dialError != nil {
+				err := c.dialError
+				c.mu.Unlock()
+				return nil, err
+			}
+			c.dialing = make(chan struct{})
+			go c.dial(c.dialing)
+		}
+		wait := c.dialing
+		c.mu.Unlock()
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return nil, failure.Wrap(ctx.Err(), failure.PeerUnavailable, "dial %s", c.address)
+		}
+	}
+}
+
+func (c *Client) dial(done chan struct{}) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	l, err := openLink(ctx, c.dialer, c.address)
+	c.mu.Lock()
+	c.link, c.dialError = l, err
+	if err != nil {
+		c.nextDial = time.Now().Add(redialPause)
+	}
+	c.dialing = nil
+	c.mu.Unlock()
+	close(done)
+}
+
+// link is one connection with its calls under way.
+type link struct {
+	session *yamux.Session
+	stream  net.Conn
+
+	writeMu sync.Mutex
+
+	mu      sync.Mutex
+	nextID  uint64
+	pending map[uint64]chan *historypb.Reply
+	heard   time.Time
+	err     error
+	done    chan struct{}
+}
+
+func openLink(ctx context.Context, dialer Dialer, address string) (*link, error) {
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.PeerUnavailable, "dial %s", address)
+	}
+	session, err := yamux.Client(conn, sessionConfig())
+	if err != nil {
+		_ = conn.Close()
+		return nil, failure.Wrap(err, failure.PeerUnavailable, "session with %s", address)
+	}
+	stream, err := session.Open()
+	if err != nil {
+		_ = session.Close()
+		return nil, failure.Wrap(err, failure.PeerUnavailable, "stream to %s", address)
+	}
+	l := &link{session: session, stream: stream, pending: map[uint64]chan *historypb.Reply{}, heard: time.Now(), done: make(chan struct{})}
+	go l.read()
+	return l, nil
+}
+
+func (l *link) ended() bool {
+	select {
+	case <-l.done:
+		return true
+	default:
+		return false
+	}
+}
+
+func (l *link) close(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.err != nil {
+		return
+	}
+	l.err = err
+	close(l.done)
+	// The session's own close may wait for its peer.
+	go func() { _ = l.session.Close() }()
+}
+
+func (l *link) read() {
+	in := bufio.NewReader(l.stream)
+	for {
+		reply := &historypb.Reply{}
+		if err := frame.Read(in, reply); err != nil {
+			l.close(failure.Wrap(err, failure.PeerUnavailable, "connection ended"))
+			return
+		}
+		l.mu.Lock()
+		l.heard = time.Now()
+		waiting := l.pending[reply.Id]
+		delete(l.pending, reply.Id)
+		l.mu.Unlock()
+		if waiting != nil {
+			waiting <- reply
+		}
+	}
+}
+
+func (l *link) call(ctx context.Context, req *historypb.Request) (*historypb.Reply, error) {
+	answer := make(chan *historypb.Reply, 1)
+	sent := time.Now()
+	l.mu.Lock()
+	l.nextID++
+	req.Id = l.nextID
+	l.pending[req.Id] = answer
+	l.mu.Unlock()
+	if err := l.write(req); err != nil {
+		l.close(err)
+		return nil, err
+	}
+	silence := time.NewTimer(silenceLimit)
+	defer silence.Stop()
+	for {
+		select {
+		case reply := <-answer:
+			return reply, nil
+		case <-l.done:
+			return nil, l.err
+		case <-ctx.Done():
+			l.forget(req.Id)
+			return nil, failure.Wrap(ctx.Err(), failure.PeerUnavailable, "call")
+		case <-silence.C:
+			if left := silenceLimit - time.Since(l.lastHeard(sent)); left > 0 {
+				silence.Reset(left)
+				continue
+			}
+			l.close(failure.New(failure.PeerUnavailable, "no answer within %s", silenceLimit))
+		}
+	}
+}
+
+// lastHeard is the later of the last arrival and sent.
+func (l *link) lastHeard(sent time.Time) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.heard.After(sent) {
+		return l.heard
+	}
+	return sent
+}
+
+func (l *link) forget(id uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.pending, id)
+}
+
+func (l *link) write(req *historypb.Request) error {
+	l.writeMu.Lock()
+	defer l.writeMu.Unlock()
+	if err := l.stream.SetWriteDeadline(time.Now().Add(silenceLimit)); err != nil {
+		return failure.Wrap(err, failure.PeerUnavailable, "write deadline")
+	}
+	return frame.Write(l.stream, req)
+}
