--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -158,9 +158,8 @@
 const (
 	// prefillWeight is the cost of reading a whole prompt that is not cached.
 	prefillWeight = 0.5
-	// farWeight is the cost of another data centre: it breaks ties between targets
-	// that are equally loaded.
-	farWeight = 0.02
+	// farWeight is the cost of another data centre: the way, and priced bytes.
+	farWeight = 0.1
 	// fullWeight is added where all places are taken.
 	fullWeight = 2
 )
--- a/daemon/cmd/pistachiod/history.go
+++ b/daemon/cmd/pistachiod/history.go
@@ -31,7 +31,7 @@
 	retirements := platform.NewRetirements(store)
 	self := placement.Member{ID: server.Member(), Host: set.Host, Address: set.HistoryListen(), DataCentre: set.DataCentre}
 	keeper := history.NewKeeper(server, store, self, set.FaultHosts, retirements, peerDialer(), logger)
-	go objects.Follow(ctx, store, platform.RetirementKind, retirements)
+	go objects.Follow(ctx, store, platform.RetirementKind, set.WatchFor(), retirements)
 	go keeper.Run(ctx)
 	go server.Sweep(ctx.Done())
 	go func() {
--- a/daemon/cmd/pistachiod/role.go
+++ b/daemon/cmd/pistachiod/role.go
@@ -34,9 +34,9 @@
 	// memoryShare is the part of the memory limit that the collector keeps to; the
 	// rest is for stacks, sockets and the runtime.
 	memoryShare = 0.75
-	// gcPercent lets the heap double and more between collections while it is far
-	// below the limit: the heaps are a few MB.
-	gcPercent = 200
+	// gcPercent keeps the heap close to what lives in it: memory at its peak is
+	// dearer than the processor time of more collections.
+	gcPercent = 50
 )
 
 func runRole(role roleFunc, args []string) int {
--- a/daemon/history/keeper.go
+++ b/daemon/history/keeper.go
@@ -20,6 +20,10 @@
 	MapName = "slots"
 )
 
+// MapWatch is how long one watch of the slot map waits. Nobody depends on it for
+// a bound: a member whose map is old is refused and told the new one.
+const MapWatch = 20 * time.Second
+
 const (
 	// keeperEvery paces the keeper: a joining member starts its copy within a
 	// third of a second.
@@ -68,7 +72,7 @@
 
 // Run follows the map and keeps it until the context ends.
 func (k *Keeper) Run(ctx context.Context) {
-	go objects.Follow(ctx, k.store, Kind, k)
+	go objects.Follow(ctx, k.store, Kind, MapWatch, k)
 	tick := time.NewTicker(keeperEvery)
 	defer tick.Stop()
 	for {
--- a/daemon/settings/role.go
+++ b/daemon/settings/role.go
@@ -26,6 +26,19 @@
 	FaultHosts int
 	// Grace is the time from the order to stop to the kill.
 	Grace time.Duration
+	// Contact is how long the platform must have answered without trouble before
+	// bounds hold; Apply and Leave bound how long a configuration and a leaving
+	// target may go unheeded from then on.
+	Contact, Apply, Leave time.Duration
+}
+
+// watchMargin is kept of the bounds for what follows a watch that hung.
+const watchMargin = time.Second
+
+// WatchFor is how long one watch of the platform may wait: a watch that hung
+// through an outage is given up before the first bound after it ends.
+func (r *Role) WatchFor() time.Duration {
+	return max(watchMargin, r.Contact+min(r.Apply, r.Leave)-watchMargin)
 }
 
 // HistoryListen is the address that history hosts listen on.
@@ -62,7 +75,10 @@
 		MemoryBytes:     r.integer("limits", "memory_mb", 0, 16, 1<<20) << 20,
 		Descriptors:     int(r.integer("limits", "descriptors", 0, 256, 1<<24)),
 		FaultHosts:      int(r.integer("faults", "hosts", 1, 0, 16)),
-		Grace:           time.Duration(r.integer("timing", "grace_s", 8, 1, 3600)) * time.Second,
+		Grace:           r.milliseconds("timing", "grace_s", 1000, 8000),
+		Contact:         r.milliseconds("timing", "contact_ms", 1, 3000),
+		Apply:           r.milliseconds("timing", "config_apply_ms", 1, 2000),
+		Leave:           r.milliseconds("timing", "target_leave_ms", 1, 2000),
 	}
 	r.required("host", "name", s.Host)
 	r.required("host", "data_centre", s.DataCentre)
@@ -77,6 +93,23 @@
 	return s, nil
 }
 
+// milliseconds reads a number, fractions allowed, of the unit, which is given in
+// milliseconds; def is in milliseconds.
+func (r *reader) milliseconds(section, key string, unit, def float64) time.Duration {
+	v := r.text(section, key, "")
+	if v == "" {
+		return time.Duration(def * float64(time.Millisecond))
+	}
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil || !(n > 0 && n*unit <= maxTimingMs) {
+		r.fault(section, key, "must be a number over 0 and at most a day, not %q", v)
+	}
+	return time.Duration(n * unit * float64(time.Millisecond))
+}
+
+// maxTimingMs is a day: longer times are slips of the pen.
+const maxTimingMs = 24 * 60 * 60 * 1000
+
 func (r *reader) required(section, key, value string) {
 	if value == "" {
 		r.fault(section, key, "is missing")
--- a/wire/objects/follow.go
+++ b/wire/objects/follow.go
@@ -28,9 +28,11 @@
 	Lost(error)
 }
 
-// Follow lists a kind and watches it until the context ends. A watch that breaks
-// goes on from where it was; one whose history is gone begins with a new list.
-func Follow(ctx context.Context, store Store, kind string, to Listener) {
+// Follow lists a kind and watches it until the context ends, each watch for wait
+// at most: every watch is a priced call, and one that hangs unnoticed delays what
+// it would have told by that time. A watch that breaks goes on from where it was;
+// one whose history is gone begins with a new list.
+func Follow(ctx context.Context, store Store, kind string, wait time.Duration, to Listener) {
 	pause := newPause()
 	for ctx.Err() == nil {
 		snapshot, err := store.List(ctx, kind)
@@ -41,15 +43,15 @@
 		}
 		pause.Reset()
 		to.Replaced(snapshot)
-		watch(ctx, store, kind, snapshot.Revision, to)
+		watch(ctx, store, kind, wait, snapshot.Revision, to)
 	}
 }
 
 // watch returns when a new list is needed.
-func watch(ctx context.Context, store Store, kind string, revision uint64, to Listener) {
+func watch(ctx context.Context, store Store, kind string, wait time.Duration, revision uint64, to Listener) {
 	pause := newPause()
 	for ctx.Err() == nil {
-		changes, err := store.Watch(ctx, kind, revision)
+		changes, err := store.Watch(ctx, kind, revision, wait)
 		if failure.Is(err, failure.HistoryGone) {
 			return
 		}
--- a/wire/objects/objects.go
+++ b/wire/objects/objects.go
@@ -4,7 +4,10 @@
 // write was done.
 package objects
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // Object is one object of the store.
 type Object struct {
@@ -42,6 +45,6 @@
 	Update(ctx context.Context, kind, name string, revision uint64, spec []byte) (Object, error)
 	UpdateStatus(ctx context.Context, kind, name string, status []byte) error
 	List(ctx context.Context, kind string) (Snapshot, error)
-	// Watch waits for changes after a revision; it may return none.
-	Watch(ctx context.Context, kind string, revision uint64) (Changes, error)
+	// Watch waits up to wait for changes after a revision; it may return none.
+	Watch(ctx context.Context, kind string, revision uint64, wait time.Duration) (Changes, error)
 }
