placement: while a member is replaced, a write needs a quorum of active replicas

Cause, found by the model in model_test.go: a reader that still uses the map before the replacement reads the former member and one active replica; a write acknowledged by the other active one and the joining one is in neither. Ruled out: fencing the former member (it may be cut off).

--- /dev/null
+++ b/core/ledger/ledger_test.go
@@ -0,0 +1,154 @@
+package ledger
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachioarch/pistachioarch/core/historypb"
+)
+
+func reserve(program, turn string, tokens int64) *historypb.Record {
+	return &historypb.Record{Program: program, WrittenMs: 1000, Change: &historypb.Record_Reserve{Reserve: &historypb.Reserve{Turn: turn, Tokens: tokens}}}
+}
+
+func settle(program, turn string, tokens int64) *historypb.Record {
+	return &historypb.Record{Program: program, WrittenMs: 1000, Change: &historypb.Record_Settle{Settle: &historypb.Settle{Turn: turn, Tokens: tokens}}}
+}
+
+func finished(program, turn, previous string) *historypb.Record {
+	return &historypb.Record{Program: program, WrittenMs: 1000, Change: &historypb.Record_Turn{
+		Turn: &historypb.Turn{Turn: turn, Previous: previous, Content: []byte(turn + " ")},
+	}}
+}
+
+func ids(chain []*historypb.Turn) []string {
+	var list []string
+	for _, t := range chain {
+		list = append(list, t.Turn)
+	}
+	return list
+}
+
+func usage(l *Ledger, program string) *Usage {
+	u := &Usage{}
+	u.Merge(l.Spending(program))
+	return u
+}
+
+func TestRecordsMergeInAnyOrder(t *testing.T) {
+	records := []*historypb.Record{
+		reserve("p", "a", 50), settle("p", "a", 12), reserve("p", "b", 50), finished("p", "a", ""), finished("p", "c", "a"),
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 200 {
+		l := New()
+		for range 2 { // each record twice
+			for _, i := range rng.Perm(len(records)) {
+				l.Apply(records[i])
+			}
+		}
+		require.EqualValues(t, 62, usage(l, "p").Without("x"))
+		require.Equal(t, []string{"c", "a"}, ids(l.Chain("c", nil)))
+		require.EqualValues(t, 4, l.Bytes())
+	}
+}
+
+func TestChainStopsAtWhatIsKnownOrMissing(t *testing.T) {
+	l := New()
+	l.Apply(finished("p", "b", "a"))
+	l.Apply(finished("p", "c", "b"))
+	require.Equal(t, []string{"c", "b"}, ids(l.Chain("c", nil)), "a is missing here")
+	require.Equal(t, []string{"c"}, ids(l.Chain("c", []string{"b"})))
+	require.Empty(t, l.Chain("x", nil))
+}
+
+func TestATurnLivesAsLongAsAnyProgramKeepsIt(t *testing.T) {
+	l := New()
+	l.Apply(finished("old", "a", ""))
+	copied := finished("new", "a", "")
+	copied.WrittenMs = 90_000
+	l.Apply(copied)
+	require.Equal(t, 1, l.Expire(100_000, time.Minute))
+	require.Equal(t, []string{"a"}, ids(l.Chain("a", nil)))
+	require.Equal(t, 1, l.Expire(200_000, time.Minute))
+	require.Empty(t, l.Chain("a", nil))
+	require.Zero(t, l.Bytes())
+}
+
+func TestPagesHoldEverythingOnce(t *testing.T) {
+	l := New()
+	for i := range 50 {
+		p := fmt.Sprintf("p%02d", i)
+		l.Apply(reserve(p, "t"+p, 10))
+		l.Apply(finished(p, "t"+p, ""))
+	}
+	copyOf, after := New(), ""
+	for {
+		page, more := l.Page(0, after, 200)
+		for _, r := range page {
+			copyOf.Apply(r)
+			after = r.Program
+		}
+		if !more {
+			break
+		}
+	}
+	require.Equal(t, 50, copyOf.Programs())
+	require.Equal(t, l.Bytes(), copyOf.Bytes())
+}
+
+// raceTurn is one of several turns that start at once.
+type raceTurn struct {
+	id       string
+	placed   int // replicas that have the reservation
+	order    []int
+	read     int
+	seen     Usage
+	admitted bool
+	over     bool
+}
+
+// TestBudgetHoldsInEveryRace plays turns that start at once: each reserves at two
+// of three replicas, then reads two. However their steps interleave, what is
+// admitted together stays within the budget.
+func TestBudgetHoldsInEveryRace(t *testing.T) {
+	const most, budget, turns, quorum = 10, 30, 6, 2
+	for seed := range uint64(20_000) {
+		rng := rand.New(rand.NewPCG(seed, 9))
+		replicas := []*Ledger{New(), New(), New()}
+		racing := make([]*raceTurn, turns)
+		for i := range racing {
+			racing[i] = &raceTurn{id: fmt.Sprintf("t%d", i), order: rng.Perm(3)}
+		}
+		for left := turns; left > 0; {
+			x := racing[rng.IntN(turns)]
+			switch {
+			case x.over:
+			case x.placed < quorum:
+				replicas[x.order[x.placed]].Apply(reserve("p", x.id, most))
+				x.placed++
+				if x.placed == quorum {
+					x.order = rng.Perm(3)
+				}
+			case x.read < quorum:
+				x.seen.Merge(replicas[x.order[x.read]].Spending("p"))
+				x.read++
+			default:
+				x.admitted = x.seen.Allows(x.id, most, budget)
+				x.over = true
+				left--
+			}
+		}
+		total := 0
+		for _, x := range racing {
+			if x.admitted {
+				total += most
+			}
+		}
+		require.LessOrEqual(t, total, budget, "seed %d", seed)
+	}
+}
--- /dev/null
+++ b/core/placement/model_test.go
@@ -0,0 +1,263 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// model plays one slot's life: writers and readers with maps of any age, members
+// that wipe, go silent and return, copies, and changes by conditional update.
+// It asserts that every complete read meets every acknowledged write.
+type model struct {
+	t       *testing.T
+	rng     *rand.Rand
+	maps    []*Map // by change; the last one is at the platform
+	disks   map[string]*disk
+	acked   []int
+	writes  int
+	nextID  int
+	silent  string // the one member that does not answer
+	copying map[string]*copyJob
+	log     []string
+}
+
+type disk struct {
+	host    string
+	adopted *Map
+	records map[int]bool
+}
+
+// copyJob is a joining member's copy under one map.
+type copyJob struct {
+	epoch uint64
+	from  map[string]bool
+}
+
+const modelSlot = 0
+
+func newModel(t *testing.T, seed uint64, hosts int) *model {
+	m := &model{t: t, rng: rand.New(rand.NewPCG(seed, 1)), disks: map[string]*disk{}, copying: map[string]*copyJob{}}
+	first := New(1)
+	for i := range hosts {
+		first.Admit(m.fresh(fmt.Sprintf("h%d", i)))
+	}
+	first.Assign()
+	m.maps = []*Map{first}
+	for _, d := range m.disks {
+		d.adopted = first
+	}
+	return m
+}
+
+func (m *model) fresh(host string) Member {
+	m.nextID++
+	id := fmt.Sprintf("m%d", m.nextID)
+	m.disks[id] = &disk{host: host, records: map[int]bool{}}
+	return Member{ID: id, Host: host, Address: host, DataCentre: host}
+}
+
+func (m *model) latest() *Map { return m.maps[len(m.maps)-1] }
+
+func (m *model) note(format string, args ...any) { m.log = append(m.log, fmt.Sprintf(format, args...)) }
+
+// anyMap is a map that some entry host may still use.
+func (m *model) anyMap() *Map {
+	back := m.rng.IntN(min(3, len(m.maps)))
+	return m.maps[len(m.maps)-1-back]
+}
+
+// accepts reports whether a member serves a request made with the map.
+func (m *model) accepts(id string, with *Map) bool {
+	d := m.disks[id]
+	return d != nil && d.adopted != nil && id != m.silent && with.Epoch >= d.adopted.Slots[modelSlot].Changed
+}
+
+func (m *model) write() {
+	with := m.anyMap()
+	s := &with.Slots[modelSlot]
+	m.writes++
+	acks := map[string]bool{}
+	for _, r := range s.Replicas {
+		if m.rng.IntN(4) > 0 && m.accepts(r.Member, with) {
+			m.disks[r.Member].records[m.writes] = true
+			acks[r.Member] = true
+		}
+	}
+	if with.Written(s, acks) {
+		m.acked = append(m.acked, m.writes)
+		m.note("write %d under epoch %d by %v", m.writes, with.Epoch, acks)
+	}
+}
+
+func (m *model) read() {
+	with := m.anyMap()
+	s := &with.Slots[modelSlot]
+	seen := map[int]bool{}
+	heard := map[string]bool{}
+	for _, i := range m.rng.Perm(len(s.Replicas)) {
+		r := s.Replicas[i]
+		if len(heard) == with.ReadQuorum(s) || r.Joining || !m.accepts(r.Member, with) {
+			continue
+		}
+		heard[r.Member] = true
+		for rec := range m.disks[r.Member].records {
+			seen[rec] = true
+		}
+	}
+	if len(heard) < with.ReadQuorum(s) {
+		return
+	}
+	for _, rec := range m.acked {
+		require.True(m.t, seen[rec], "write %d not seen by %v under epoch %d\n%s", rec, heard, with.Epoch, m.history())
+	}
+}
+
+func (m *model) history() string {
+	out := ""
+	for _, l := range m.log[max(0, len(m.log)-40):] {
+		out += l + "\n"
+	}
+	return out
+}
+
+func (m *model) change(what string, apply func(*Map) bool) {
+	next := m.latest().Clone()
+	if apply(next) {
+		m.maps = append(m.maps, next)
+		m.note("%s: epoch %d, replicas %v", what, next.Epoch, next.Slots[modelSlot].Replicas)
+	}
+}
+
+// whole reports that nothing is lost: no replica joins and none is silent.
+func (m *model) whole() bool {
+	for _, s := range m.latest().Slots {
+		for _, r := range s.Replicas {
+			if r.Joining {
+				return false
+			}
+		}
+	}
+	return m.silent == ""
+}
+
+func (m *model) anyMember() string {
+	ids := make([]string, 0, len(m.latest().Members))
+	for i := 1; i <= m.nextID; i++ {
+		id := fmt.Sprintf("m%d", i)
+		if _, in := m.latest().Members[id]; in {
+			ids = append(ids, id)
+		}
+	}
+	return ids[m.rng.IntN(len(ids))]
+}
+
+func (m *model) wipe() {
+	if !m.whole() {
+		return
+	}
+	id := m.anyMember()
+	host := m.disks[id].host
+	delete(m.disks, id)
+	m.note("%s loses its disk", id)
+	x := m.fresh(host)
+	m.change("admit "+x.ID, func(n *Map) bool { return n.Admit(x) })
+	m.disks[x.ID].adopted = m.latest()
+}
+
+// step is one random action.
+func (m *model) step() {
+	switch m.rng.IntN(12) {
+	case 0, 1, 2:
+		m.write()
+	case 3, 4, 5:
+		m.read()
+	case 6:
+		if d := m.disks[m.anyMember()]; d != nil {
+			d.adopted = m.latest()
+		}
+	case 7:
+		m.wipe()
+	case 8:
+		if m.whole() {
+			m.silent = m.anyMember()
+			m.note("%s silent", m.silent)
+		}
+	case 9:
+		if m.silent != "" && m.rng.IntN(2) == 0 {
+			id := m.silent
+			m.change("replace "+id, func(n *Map) bool { return n.Replace(id, map[string]bool{id: true}) })
+		} else if m.silent != "" {
+			m.note("%s back", m.silent)
+			m.silent = ""
+		}
+	default:
+		m.copy()
+	}
+}
+
+// copy lets a joining replica copy from one source; when it has enough, it asks
+// to be active.
+func (m *model) copy() {
+	at := m.latest()
+	for _, r := range at.Slots[modelSlot].Replicas {
+		if !r.Joining || r.Member == m.silent {
+			continue
+		}
+		job := m.copying[r.Member]
+		if job == nil || job.epoch != at.Slots[modelSlot].Changed {
+			job = &copyJob{epoch: at.Slots[modelSlot].Changed, from: map[string]bool{}}
+			m.copying[r.Member] = job
+		}
+		from, need := at.Sources(modelSlot, r.Member)
+		if len(from) > 0 {
+			m.copyFrom(r.Member, from[m.rng.IntN(len(from))], at, job)
+		}
+		if len(job.from) >= need {
+			m.change("activate "+r.Member, func(n *Map) bool {
+				return n.Activate(r.Member, map[int]uint64{modelSlot: job.epoch})
+			})
+			return
+		}
+	}
+}
+
+func (m *model) copyFrom(to, from string, at *Map, job *copyJob) {
+	source := m.disks[from]
+	if source == nil || from == m.silent {
+		return
+	}
+	if source.adopted == nil || source.adopted.Epoch < at.Epoch {
+		source.adopted = at // a source refuses to be copied from before it has adopted the map
+	}
+	for rec := range source.records {
+		m.disks[to].records[rec] = true
+	}
+	job.from[from] = true
+}
+
+func TestReadsMeetAcknowledgedWrites(t *testing.T) {
+	for hosts := 3; hosts <= 5; hosts++ {
+		for seed := range uint64(80) {
+			m := newModel(t, seed, hosts)
+			for range 300 {
+				m.step()
+			}
+		}
+	}
+}
+
+func TestJoinedReplicasBecomeActive(t *testing.T) {
+	m := newModel(t, 7, 4)
+	for range 2000 {
+		m.step()
+	}
+	m.silent = ""
+	for range 200 {
+		m.copy()
+	}
+	require.Zero(t, len(m.latest().Slots[modelSlot].Replicas)-m.latest().Slots[modelSlot].Active())
+	require.NotEmpty(t, m.acked)
+}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -80,7 +80,9 @@
 
 // Written reports whether acknowledgements of these members make a write
 // durable: enough copies, and enough of them active that every complete read
-// meets one.
+// meets one. While a member is being replaced, a reader with the older map may
+// still count it and one active replica, so a write then needs a quorum of active
+// ones.
 func (m *Map) Written(s *Slot, acks map[string]bool) bool {
 	total, active := 0, 0
 	for _, r := range s.Replicas {
@@ -93,7 +95,11 @@
 		}
 	}
 	copies := min(len(s.Replicas), m.Quorum())
-	return total >= copies && active >= s.Active()-m.ReadQuorum(s)+1
+	needed := s.Active() - m.ReadQuorum(s) + 1
+	if s.Former != "" {
+		needed = min(m.Quorum(), s.Active())
+	}
+	return total >= copies && active >= needed
 }
 
 // Active counts the replicas that are not joining.
