--- /dev/null
+++ b/daemon/entry/entry_test.go
@@ -0,0 +1,165 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestPlainAnswerIsPassedOnWhole(t *testing.T) {
+	x := newTarget(t, "t1", func(_ int, r received, id string) (string, bool) { return whole(id, "answer to "+r.Body), false })
+	s := newSystem(t, x)
+	got := s.post("/plain/a%2Fb?q=1", "body", "Id", "1", "Left-Ms", "900")
+	require.Equal(t, http.StatusOK, got.status)
+	require.Equal(t, "answer to body", got.body)
+	require.Equal(t, "s", got.header.Get("Signature"))
+	seen := x.requests()[0]
+	require.Equal(t, "/plain/a%2Fb?q=1", seen.URI)
+	require.Equal(t, "t1", seen.Target)
+	require.LessOrEqual(t, number(seen.LeftMs), int64(900))
+}
+
+func TestBadRequestsAreRefusedAndNotSent(t *testing.T) {
+	x := newTarget(t, "t1", func(_ int, _ received, id string) (string, bool) { return whole(id, ""), false })
+	s := newSystem(t, x)
+	for name, c := range map[string]struct {
+		status     int
+		path, body string
+		headers    []string
+	}{
+		"no id":    {http.StatusBadRequest, "/plain/", "", nil},
+		"no route": {http.StatusNotFound, "/other/", "", []string{"Id", "1"}},
+		"too long": {http.StatusRequestEntityTooLarge, "/plain/", strings.Repeat("x", 1001), []string{"Id", "1"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, c.status, s.post(c.path, c.body, c.headers...).status)
+		})
+	}
+	require.Empty(t, x.requests())
+}
+
+func TestRefusalGoesToAnotherTarget(t *testing.T) {
+	refusing := func(_ int, _ received, id string) (string, bool) { return refused(id), false }
+	a, b := newTarget(t, "t1", refusing), newTarget(t, "t2", refusing)
+	s := newSystem(t, a, b)
+	got := s.post("/once/", "", "Id", "1")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.NotEmpty(t, got.header.Get("Retry-After"))
+	require.Len(t, a.requests(), 1)
+	require.Len(t, b.requests(), 1)
+}
+
+func TestOnlyIdempotentRequestsAreSentAgain(t *testing.T) {
+	for path, want := range map[string]struct{ status, sends int }{
+		"/plain/": {http.StatusOK, 2},
+		"/once/":  {http.StatusBadGateway, 1},
+	} {
+		t.Run(path, func(t *testing.T) {
+			sends := make(chan struct{}, 4)
+			breaking := func(n int, _ received, id string) (string, bool) {
+				sends <- struct{}{}
+				if len(sends) == 1 {
+					return "", true // closes without an answer
+				}
+				return whole(id, "ok"), false
+			}
+			s := newSystem(t, newTarget(t, "t1", breaking), newTarget(t, "t2", breaking))
+			require.Equal(t, want.status, s.post(path, "x", "Id", "1").status)
+			require.Len(t, sends, want.sends)
+		})
+	}
+}
+
+// A stream that breaks before its first event ends in a failure of our own,
+// without the target's signature.
+func TestFailureBearsNoSignature(t *testing.T) {
+	x := newTarget(t, "t1", func(_ int, _ received, id string) (string, bool) { return streamHead(id), true })
+	s := newSystem(t, x)
+	got := s.turn("/turn/", "1", "", "x")
+	require.Equal(t, http.StatusBadGateway, got.status)
+	require.Empty(t, got.header.Get("Signature"))
+	require.Empty(t, got.header.Get("Transfer-Encoding"))
+	require.NotEqual(t, "text/event-stream", got.header.Get("Content-Type"))
+}
+
+func TestBrokenStreamDoesNotLookComplete(t *testing.T) {
+	x := newTarget(t, "t1", func(_ int, _ received, id string) (string, bool) {
+		return streamHead(id) + chunks(1, "a") + "5\r\nid: 2", true
+	})
+	s := newSystem(t, x)
+	got := s.turn("/turn/", "1", "", "x")
+	require.Equal(t, "id: 1\ndata: a\n\n", got.body)
+	require.ErrorIs(t, got.err, io.ErrUnexpectedEOF)
+}
+
+func TestResumableStreamGoesOnAtAnotherTarget(t *testing.T) {
+	first := func(n int, r received, id string) (string, bool) {
+		if r.LastEvent == "" {
+			return streamHead(id) + chunks(1, "a", "b") + "5\r\nid: 3", true
+		}
+		return streamed(id, 3, "c"), false
+	}
+	a, b := newTarget(t, "t1", first), newTarget(t, "t2", first)
+	s := newSystem(t, a, b)
+	got := s.turn("/quick/", "1", "", "x")
+	require.NoError(t, got.err)
+	require.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n", got.body)
+}
+
+func TestChainIsRebuiltForTheNextTurn(t *testing.T) {
+	x := newTarget(t, "t1", func(_ int, r received, id string) (string, bool) { return streamed(id, 1, "out-"+id), false })
+	s := newSystem(t, x)
+	require.Equal(t, http.StatusOK, s.turn("/turn/", "1", "", "in1;").status)
+	require.Equal(t, http.StatusOK, s.turn("/turn/", "2", "1", "in2;").status)
+	require.Equal(t, http.StatusOK, s.turn("/turn/", "3", "1", "in3;").status)
+	seen := x.requests()
+	require.Equal(t, "in1;", seen[0].Body)
+	require.Equal(t, "in1;out-1\nin2;", seen[1].Body)
+	require.Equal(t, "in1;out-1\nin3;", seen[2].Body, "two turns may continue from the same one")
+	// Another program goes on from there, and keeps the chain itself.
+	got := s.post("/turn/", "in4;", "Id", "4", "Program", "other", "Previous", "2", "Budget", "100", "Max-Tokens", "12")
+	require.Equal(t, http.StatusOK, got.status)
+	require.Equal(t, "in1;out-1\nin2;out-2\nin4;", x.requests()[3].Body)
+}
+
+func TestUnknownTurnOnlyIfCertain(t *testing.T) {
+	x := newTarget(t, "t1", func(_ int, _ received, id string) (string, bool) { return streamed(id, 1, "x"), false })
+	s := newSystem(t, x)
+	require.Equal(t, http.StatusNotFound, s.turn("/turn/", "1", "none", "x").status)
+	s.members[0].silent.Store(true)
+	require.Equal(t, http.StatusNotFound, s.turn("/turn/", "2", "none", "x").status, "two of three answer")
+	s.members[1].silent.Store(true)
+	got := s.turn("/turn/", "3", "none", "x")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.NotEmpty(t, got.header.Get("Retry-After"))
+	require.Empty(t, x.requests())
+}
+
+func TestBudgetIsSharedByAllTurns(t *testing.T) {
+	x := newTarget(t, "t1", func(_ int, _ received, id string) (string, bool) {
+		return streamed(id, 1, "a", "b", "c", "d"), false // 4 events of 3 tokens
+	})
+	s := newSystem(t, x)
+	sent := 0
+	for _, id := range []string{"1", "2", "3"} {
+		got := s.post("/quick/", "x", "Id", id, "Program", "p", "Budget", "24", "Max-Tokens", "12")
+		if got.status == http.StatusOK {
+			sent++
+			continue
+		}
+		require.Equal(t, http.StatusPaymentRequired, got.status)
+	}
+	require.Equal(t, 2, sent)
+	require.Len(t, x.requests(), 2)
+}
+
+func TestTimeoutIsAnsweredAtOnce(t *testing.T) {
+	hold := make(chan struct{})
+	t.Cleanup(func() { close(hold) })
+	x := newTarget(t, "t1", func(int, received, string) (string, bool) { <-hold; return "", true })
+	s := newSystem(t, x)
+	require.Equal(t, http.StatusGatewayTimeout, s.post("/short/", "", "Id", "1").status)
+}
--- a/daemon/entry/stream.go
+++ b/daemon/entry/stream.go
@@ -14,13 +14,12 @@
 // stream passes events on as they come. A stream that breaks is resumed at other
 // targets where the route allows it.
 func (x *exchange) stream(ctx context.Context, t balance.Listed, resp *targetpool.Response) (again bool, err error) {
-	x.copyHead(resp.Header)
 	last := x.call.LastEvent
 	for {
 		err = x.pump(resp, &last)
 		if err == nil {
 			x.done(t.ID, &resp.Answer, balance.Served)
-			return false, x.finishStream(ctx)
+			return false, x.finishStream(ctx, resp)
 		}
 		f := failure.Unknown(failure.BadAnswer, "stream of %s broke off: %v", t.ID, err)
 		if ctx.Err() != nil {
@@ -53,10 +52,7 @@
 		if err != nil {
 			return err
 		}
-		if !x.answered {
-			x.answered = true
-			x.w.WriteHeader(resp.Status)
-		}
+		x.begin(resp)
 		if x.turn != nil {
 			x.turn.note(e)
 		}
@@ -72,6 +68,17 @@
 	}
 }
 
+// begin sends the head of the answer, once: that of the first target. Until then
+// a failure is answered by a head of our own.
+func (x *exchange) begin(resp *targetpool.Response) {
+	if x.answered {
+		return
+	}
+	x.copyHead(resp.Header)
+	x.answered = true
+	x.w.WriteHeader(resp.Status)
+}
+
 // resume sends the request to another target, after the last event passed on.
 func (x *exchange) resume(ctx context.Context, last string) (balance.Listed, *targetpool.Response, error) {
 	for x.sends < x.route.Attempts {
@@ -100,11 +107,8 @@
 }
 
 // finishStream makes a turn durable before its caller sees it end.
-func (x *exchange) finishStream(ctx context.Context) error {
-	if !x.answered {
-		x.answered = true
-		x.w.WriteHeader(http.StatusOK)
-	}
+func (x *exchange) finishStream(ctx context.Context, resp *targetpool.Response) error {
+	x.begin(resp)
 	if x.turn == nil {
 		return nil
 	}
--- /dev/null
+++ b/daemon/wal/wal_test.go
@@ -0,0 +1,157 @@
+package wal
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/core/historypb"
+)
+
+func record(program string, size int) *historypb.Record {
+	return &historypb.Record{Program: program, WrittenMs: 7, Change: &historypb.Record_Turn{
+		Turn: &historypb.Turn{Turn: "t-" + program, Content: make([]byte, size)},
+	}}
+}
+
+// open opens the log and returns the programs replayed, in order.
+func open(t *testing.T, dir string) (*Log, []string, []Damage) {
+	t.Helper()
+	var replayed []string
+	l, damage, err := Open(dir, func(r *historypb.Record) { replayed = append(replayed, r.Program) })
+	require.NoError(t, err)
+	return l, replayed, damage
+}
+
+func appendWait(l *Log, records ...*historypb.Record) error {
+	done := make(chan error, 1)
+	l.Append(records, func(err error) { done <- err })
+	return <-done
+}
+
+func segments(t *testing.T, dir string) []string {
+	t.Helper()
+	names, err := segmentFiles(dir)
+	require.NoError(t, err)
+	return names
+}
+
+func TestReplayGivesWhatWasDurable(t *testing.T) {
+	dir := t.TempDir()
+	l, _, _ := open(t, dir)
+	for i := range 20 {
+		require.NoError(t, appendWait(l, record(fmt.Sprintf("p%d", i), 100)))
+	}
+	l.Close()
+	l, replayed, damage := open(t, dir)
+	defer l.Close()
+	require.Len(t, replayed, 20)
+	require.Empty(t, damage)
+	require.Equal(t, failure.Suspended, failure.From(func() error {
+		closed, _, _ := open(t, t.TempDir())
+		closed.Close()
+		return appendWait(closed, record("late", 1))
+	}()).Kind)
+}
+
+func TestTornTailIsReportedAndTheRestServes(t *testing.T) {
+	for _, cut := range []int{1, 7, 60} {
+		dir := t.TempDir()
+		l, _, _ := open(t, dir)
+		require.NoError(t, appendWait(l, record("kept", 100)))
+		require.NoError(t, appendWait(l, record("torn", 100)))
+		l.Close()
+		name := filepath.Join(dir, segments(t, dir)[0])
+		info, err := os.Stat(name)
+		require.NoError(t, err)
+		require.NoError(t, os.Truncate(name, info.Size()-int64(cut)))
+
+		l, replayed, damage := open(t, dir)
+		require.Equal(t, []string{"kept"}, replayed)
+		require.Len(t, damage, 1)
+		require.NoError(t, appendWait(l, record("after", 10)))
+		l.Close()
+		l, replayed, _ = open(t, dir)
+		l.Close()
+		require.Equal(t, []string{"kept", "after"}, replayed, "what follows a torn tail lies in a new segment")
+	}
+}
+
+func TestFlippedBitEndsItsSegmentOnly(t *testing.T) {
+	dir := t.TempDir()
+	l, _, _ := open(t, dir)
+	require.NoError(t, appendWait(l, record("a", 50)))
+	require.NoError(t, appendWait(l, record("b", 50)))
+	l.Close()
+	name := filepath.Join(dir, segments(t, dir)[0])
+	content, err := os.ReadFile(name)
+	require.NoError(t, err)
+	content[len(content)-5] ^= 1
+	require.NoError(t, os.WriteFile(name, content, 0o644))
+	l, replayed, damage := open(t, dir)
+	l.Close()
+	require.Equal(t, []string{"a"}, replayed)
+	require.Len(t, damage, 1)
+}
+
+func TestFailedWritePoisonsItsSegment(t *testing.T) {
+	dir := t.TempDir()
+	l, _, _ := open(t, dir)
+	require.NoError(t, appendWait(l, record("a", 10)))
+	// The next write fails as on a disk that refuses it.
+	require.NoError(t, l.file.Close())
+	err := appendWait(l, record("refused", 10))
+	require.Equal(t, failure.Suspended, failure.From(err).Kind)
+	require.NoError(t, appendWait(l, record("b", 10)))
+	l.Close()
+	require.Len(t, segments(t, dir), 2)
+	l, replayed, _ := open(t, dir)
+	l.Close()
+	require.Equal(t, []string{"a", "b"}, replayed)
+}
+
+func TestOldSegmentsAreDroppedAfterTheirLiveRecordsWereCarried(t *testing.T) {
+	dir := t.TempDir()
+	l, _, _ := open(t, dir)
+	require.NoError(t, appendWait(l, record("old", segmentBytes)))
+	require.NoError(t, appendWait(l, record("new", 10)))
+	programs, newest, ok := l.Oldest()
+	require.True(t, ok)
+	require.Equal(t, []string{"old"}, programs)
+	require.EqualValues(t, 7, newest)
+	require.NoError(t, appendWait(l, record("old", 20)))
+	require.NoError(t, l.DropOldest())
+	require.Less(t, l.Bytes(), int64(segmentBytes))
+	_, _, ok = l.Oldest()
+	require.False(t, ok, "the segment being written stays")
+	l.Close()
+	l, replayed, _ := open(t, dir)
+	l.Close()
+	require.Equal(t, []string{"new", "old"}, replayed)
+}
+
+func FuzzReplay(f *testing.F) {
+	dir := f.TempDir()
+	l, _, err := Open(dir, func(*historypb.Record) {})
+	require.NoError(f, err)
+	require.NoError(f, appendWait(l, record("seed", 30)))
+	l.Close()
+	names, err := segmentFiles(dir)
+	require.NoError(f, err)
+	content, err := os.ReadFile(filepath.Join(dir, names[0]))
+	require.NoError(f, err)
+	f.Add(content)
+	f.Add([]byte{0, 0, 0, 1, 0, 0, 0, 0, 0})
+	f.Fuzz(func(t *testing.T, content []byte) {
+		path := filepath.Join(t.TempDir(), "x"+suffix)
+		require.NoError(t, os.WriteFile(path, content, 0o644))
+		seg := &segment{programs: map[string]bool{}}
+		_, err := replay(path, seg, func(*historypb.Record) {})
+		require.NoError(t, err, "damage is no error")
+		require.LessOrEqual(t, seg.size, int64(len(content)))
+	})
+}
--- /dev/null
+++ b/wire/targetpool/targetpool_test.go
@@ -0,0 +1,282 @@
+package targetpool
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/core/request"
+)
+
+// script answers the requests of one connection in turn: the n-th request gets
+// answers[n] as raw bytes; an empty one closes the connection unanswered.
+type script struct {
+	t        *testing.T
+	listener net.Listener
+	mu       sync.Mutex
+	bodies   []string
+	conns    int
+}
+
+func serve(t *testing.T, answers ...string) *script {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &script{t: t, listener: l}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns++
+			s.mu.Unlock()
+			go s.answer(c, answers)
+		}
+	}()
+	return s
+}
+
+func (s *script) answer(c net.Conn, answers []string) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for _, a := range answers {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.bodies = append(s.bodies, req.Method+" "+req.RequestURI+" "+string(body))
+		s.mu.Unlock()
+		if a == "" {
+			return
+		}
+		if _, err := io.WriteString(c, a); err != nil {
+			return
+		}
+	}
+	// Until the client leaves.
+	_, _ = io.Copy(io.Discard, in)
+}
+
+func (s *script) opened() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conns
+}
+
+func (s *script) request(id string) *Request {
+	return &Request{
+		Address: s.listener.Addr().String(), Method: "POST", URI: "/a%2Fb?q=1", Host: "example",
+		Header: http.Header{"Id": {id}}, Body: []byte("hello"), ID: id, MaxIdle: time.Minute,
+	}
+}
+
+func decode(status int, h map[string][]string) request.Answer {
+	a := request.Answer{NotRun: status == 503}
+	if v := h["Id"]; len(v) > 0 {
+		a.ID = v[0]
+	}
+	return a
+}
+
+func answer(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + lengthOf(body) + "\r\n\r\n" + body
+}
+
+func lengthOf(body string) string { return string(rune('0' + len(body))) }
+
+func roundTrip(t *testing.T, p *Pool, r *Request) (string, error) {
+	t.Helper()
+	resp, err := p.Do(t.Context(), r, decode)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
+func TestConnectionIsReused(t *testing.T) {
+	s := serve(t, answer("1", "one"), answer("2", "two"))
+	p := New(&net.Dialer{})
+	for id, want := range map[string]string{"1": "one"} {
+		got, err := roundTrip(t, p, s.request(id))
+		require.NoError(t, err)
+		require.Equal(t, want, got)
+	}
+	got, err := roundTrip(t, p, s.request("2"))
+	require.NoError(t, err)
+	require.Equal(t, "two", got)
+	require.Equal(t, 1, s.opened())
+	require.Equal(t, []string{"POST /a%2Fb?q=1 hello", "POST /a%2Fb?q=1 hello"}, s.bodies)
+}
+
+func TestLateAnswerToAnotherRequestIsSkipped(t *testing.T) {
+	s := serve(t, answer("1", "one"), answer("0", "old")+answer("2", "two"))
+	p := New(&net.Dialer{})
+	_, err := roundTrip(t, p, s.request("1"))
+	require.NoError(t, err)
+	got, err := roundTrip(t, p, s.request("2"))
+	require.NoError(t, err)
+	require.Equal(t, "two", got)
+}
+
+func TestBytesAfterAnAnswerCostTheConnection(t *testing.T) {
+	s := serve(t, answer("1", "one")+answer("1", "one"), answer("2", "two"))
+	p := New(&net.Dialer{})
+	_, err := roundTrip(t, p, s.request("1"))
+	require.NoError(t, err)
+	require.Empty(t, p.idle[s.listener.Addr().String()])
+}
+
+func TestWhatMayHaveRunIsSaidToBeUnknown(t *testing.T) {
+	cases := map[string]string{
+		"closed without an answer": "",
+		"not an answer":            "garbage\r\n\r\n",
+		"cut head":                 "HTTP/1.1 200 OK\r\nContent-Le",
+		"only other ids":           answer("7", "a") + answer("8", "b") + answer("9", "c"),
+	}
+	for name, raw := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, raw)
+			if raw != "" && !strings.HasSuffix(raw, "c") {
+				s = serve(t, raw, "")
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			p := New(&net.Dialer{})
+			if name == "cut head" {
+				s = serveCut(t, raw)
+			}
+			_, err := p.Do(ctx, s.request("1"), decode)
+			require.Equal(t, failure.RanUnknown, failure.From(err).Ran, "%v", err)
+		})
+	}
+}
+
+// serveCut answers one request with raw and closes.
+func serveCut(t *testing.T, raw string) *script {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		req, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = io.WriteString(c, raw)
+	}()
+	return &script{t: t, listener: l}
+}
+
+func TestRefusedConnectionDidNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &script{t: t, listener: l}
+	require.NoError(t, l.Close())
+	_, err = New(&net.Dialer{}).Do(t.Context(), s.request("1"), decode)
+	require.Equal(t, failure.RanNo, failure.From(err).Ran)
+}
+
+func TestCutBodyIsAnError(t *testing.T) {
+	for name, raw := range map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nshort",
+		"chunked": "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serveCut(t, raw)
+			_, err := roundTrip(t, New(&net.Dialer{}), s.request("1"))
+			require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+		})
+	}
+}
+
+func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
+	s := serveCut(t, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nwhole")
+	p := New(&net.Dialer{})
+	got, err := roundTrip(t, p, s.request("1"))
+	require.NoError(t, err)
+	require.Equal(t, "whole", got)
+	require.Empty(t, p.idle)
+}
+
+func TestEarlyAnswerToALongBodyCostsTheConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		// Answers without reading the body, and keeps the connection.
+		_, _ = bufio.NewReaderSize(c, 16).ReadString('\n')
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Busy\r\nId: 1\r\nContent-Length: 0\r\n\r\n")
+	}()
+	p := New(&net.Dialer{})
+	r := (&script{t: t, listener: l}).request("1")
+	r.Body = make([]byte, 64<<20)
+	resp, err := p.Do(t.Context(), r, decode)
+	require.NoError(t, err)
+	require.True(t, resp.Answer.NotRun)
+	_, err = io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Empty(t, p.idle)
+}
+
+func TestEndOfContextClosesTheConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		in := bufio.NewReader(c)
+		if req, err := http.ReadRequest(in); err == nil {
+			_, _ = io.Copy(io.Discard, req.Body)
+		}
+		cancel()
+		_, _ = io.Copy(io.Discard, in) // returns when the client closes
+	}()
+	_, err = New(&net.Dialer{}).Do(ctx, (&script{t: t, listener: l}).request("1"), decode)
+	require.Equal(t, failure.CallerGone, failure.From(err).Kind)
+	require.Equal(t, failure.RanUnknown, failure.From(err).Ran)
+	<-closed
+}
+
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	s := serve(t, answer("1", "one"), "")
+	p := New(&net.Dialer{})
+	_, err := roundTrip(t, p, s.request("1"))
+	require.NoError(t, err)
+	c := p.idle[s.listener.Addr().String()][0]
+	require.True(t, quiet(c))
+	require.NoError(t, c.Conn.(*net.TCPConn).CloseRead())
+	require.False(t, quiet(c))
+}
