A host cut from the history hosts refuses at once and leaves rotation

Ruled out: targets (those reached served). Members' health comes from calls and probes; a slot without enough healthy replicas is refused without asking, with the time until callers are sent elsewhere.

--- a/daemon/cmd/pistachiod/entry.go
+++ b/daemon/cmd/pistachiod/entry.go
@@ -35,6 +35,7 @@
 	go objects.Follow(follow, store, platform.TargetKind, set.WatchFor(), entry.NewTargetView(host, platform.Target))
 	go objects.Follow(follow, store, history.Kind, history.MapWatch, past)
 	go host.Run(follow)
+	go past.Run(follow)
 	server := host.Serve(callers)
 	host.ServeReady(ready)
 	<-ctx.Done()
--- a/daemon/entry/handle.go
+++ b/daemon/entry/handle.go
@@ -44,7 +44,8 @@
 	h.active.Add(1)
 	defer h.active.Add(-1)
 	x := &exchange{host: h, w: w, r: r, began: time.Now(), tried: map[string]bool{}}
-	if h.draining.Load() {
+	if !h.Ready() {
+		// The caller's next connection goes to a host that is ready.
 		w.Header().Set("Connection", "close")
 	}
 	if err := x.serve(); err != nil {
--- a/daemon/entry/host.go
+++ b/daemon/entry/host.go
@@ -100,7 +100,22 @@
 // Ready reports whether the host can serve: it has a configuration and knows the
 // history hosts, and it is not about to stop.
 func (h *Host) Ready() bool {
-	return !h.draining.Load() && h.table.Load() != nil && h.History.Ready()
+	return !h.draining.Load() && h.table.Load() != nil && h.History.Ready() && h.History.Isolated() == 0
+}
+
+// rotationTime is how long the platform takes to send callers elsewhere after a
+// host is not ready: two questions, a second apart.
+const rotationTime = 2 * time.Second
+
+// comeBack is when a caller that history hosts cannot serve should try again: at
+// once if this host is in touch with them, otherwise when callers are sent to
+// other hosts.
+func (h *Host) comeBack() time.Duration {
+	isolated := h.History.Isolated()
+	if isolated == 0 {
+		return retryLater
+	}
+	return max(retryLater, rotationTime-isolated)
 }
 
 // ServeReady answers the platform's question whether the host takes requests.
--- a/daemon/entry/plain.go
+++ b/daemon/entry/plain.go
@@ -49,10 +49,10 @@
 // copyHead copies a target's headers but those of its connection.
 func (x *exchange) copyHead(from http.Header) {
 	to := x.w.Header()
+	closing := to.Get("Connection") == "close"
 	for name, values := range from {
 		to[name] = values
 	}
-	closing := x.host.draining.Load()
 	stripHop(to)
 	if closing {
 		to.Set("Connection", "close")
--- a/daemon/entry/turn.go
+++ b/daemon/entry/turn.go
@@ -60,6 +60,9 @@
 // of the program reserved before and the chain that this one continues.
 func (t *turn) begin(ctx context.Context) error {
 	x := t.x
+	if !x.host.History.Servable(x.call.Program) {
+		return failure.Retry(failure.HistoryUnavailable, x.host.comeBack(), "history hosts of the program are out of reach")
+	}
 	ctx, cancel := context.WithTimeout(ctx, historyPatience)
 	defer cancel()
 	reserve := &historypb.Record{Change: &historypb.Record_Reserve{
@@ -67,7 +70,7 @@
 	}}
 	history := x.host.History
 	if err := history.Write(ctx, x.call.Program, reserve); err != nil {
-		return later(err)
+		return t.later(err)
 	}
 	previous := ""
 	if x.route.Retained {
@@ -75,7 +78,7 @@
 	}
 	past, err := history.Read(ctx, x.call.Program, previous)
 	if err != nil {
-		return later(err)
+		return t.later(err)
 	}
 	if x.call.Budget > 0 && !past.Usage.Allows(x.call.ID, x.call.MaxTokens, x.call.Budget) {
 		return failure.New(failure.BudgetExhausted, "%d of %d used by others, %d wanted",
@@ -85,12 +88,12 @@
 }
 
 // later tells the caller to come back, unless trying again cannot help.
-func later(err error) error {
+func (t *turn) later(err error) error {
 	f := *failure.From(err)
 	if f.Kind == failure.UnknownTurn {
 		return &f
 	}
-	f.Kind, f.Ran, f.RetryAfter = failure.HistoryUnavailable, failure.RanNo, retryLater
+	f.Kind, f.Ran, f.RetryAfter = failure.HistoryUnavailable, failure.RanNo, t.x.host.comeBack()
 	return &f
 }
 
@@ -117,7 +120,7 @@
 		records = append(records, &historypb.Record{Change: &historypb.Record_Turn{Turn: c}})
 	}
 	if err := t.x.host.History.Write(ctx, t.x.call.Program, records...); err != nil {
-		return later(err)
+		return t.later(err)
 	}
 	return nil
 }
--- /dev/null
+++ b/daemon/quorum/health.go
@@ -0,0 +1,157 @@
+package quorum
+
+import (
+	"context"
+	"time"
+
+	"github.com/pistachioarch/pistachioarch/core/historypb"
+	"github.com/pistachioarch/pistachioarch/core/placement"
+)
+
+const (
+	// probeEvery paces the probes of members that do not answer, or that were not
+	// heard of lately.
+	probeEvery = 250 * time.Millisecond
+	// quietFor is how long a member may go unheard before it is probed, so that a
+	// host without traffic knows whether it could serve.
+	quietFor = time.Second
+	// doubtFor is how long members must fail before requests are refused without
+	// asking them: a process that was killed is back sooner than a partition heals,
+	// and a caller that waits this long still has most of its time.
+	doubtFor = 200 * time.Millisecond
+)
+
+// health is what the client knows of one member.
+type health struct {
+	heard   time.Time // last answer
+	failing time.Time // first failure since, zero if none
+}
+
+// note records the outcome of a call to a member.
+func (c *Client) note(id string, err error) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.health[id]
+	if h == nil {
+		h = &health{}
+		c.health[id] = h
+	}
+	switch {
+	case err == nil:
+		if !h.failing.IsZero() {
+			c.logger.Info("history member regained", "member", id, "after_ms", now.Sub(h.failing).Milliseconds())
+		}
+		h.heard, h.failing = now, time.Time{}
+	case h.failing.IsZero():
+		h.failing = now
+		c.logger.Warn("history member lost", "member", id, "error", err.Error())
+	}
+}
+
+// failingFor is how long a member has failed; 0 if it has not.
+func (c *Client) failingFor(id string, now time.Time) time.Duration {
+	h := c.health[id]
+	if h == nil || h.failing.IsZero() {
+		return 0
+	}
+	return now.Sub(h.failing)
+}
+
+// servable reports whether enough replicas of the slot are not known to fail.
+func (c *Client) servable(m *placement.Map, s *placement.Slot, now time.Time) bool {
+	alive := map[string]bool{}
+	active := 0
+	for _, r := range s.Replicas {
+		if c.failingFor(r.Member, now) > doubtFor {
+			continue
+		}
+		alive[r.Member] = true
+		if !r.Joining {
+			active++
+		}
+	}
+	return m.Written(s, alive) && active >= m.ReadQuorum(s)
+}
+
+// Servable reports whether turns of the program could be served now, as far as
+// is known.
+func (c *Client) Servable(program string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.slots
+	return m != nil && m.Assigned() && c.servable(m, &m.Slots[placement.SlotOf(program)], time.Now())
+}
+
+// Isolated returns how long most slots have not been servable; 0 if they are.
+func (c *Client) Isolated() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isolated.IsZero() {
+		return 0
+	}
+	return time.Since(c.isolated)
+}
+
+// judge notes whether the host is isolated from the history hosts.
+func (c *Client) judge() {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.slots
+	if m == nil || !m.Assigned() {
+		return
+	}
+	lost := 0
+	for i := range m.Slots {
+		if !c.servable(m, &m.Slots[i], now) {
+			lost++
+		}
+	}
+	switch {
+	case lost*2 <= len(m.Slots):
+		if !c.isolated.IsZero() {
+			c.logger.Info("history regained", "after_ms", now.Sub(c.isolated).Milliseconds())
+		}
+		c.isolated = time.Time{}
+	case c.isolated.IsZero():
+		c.isolated = now
+		c.logger.Warn("history lost", "slots", lost, "of", len(m.Slots))
+	}
+}
+
+// Run probes members until the context ends.
+func (c *Client) Run(ctx context.Context) {
+	tick := time.NewTicker(probeEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			c.judge()
+			c.probe()
+		}
+	}
+}
+
+// probe asks the members that fail or were not heard of lately.
+func (c *Client) probe() {
+	m := c.current()
+	if m == nil {
+		return
+	}
+	now := time.Now()
+	var ask []string
+	c.mu.Lock()
+	for id := range m.Members {
+		h := c.health[id]
+		if h == nil || !h.failing.IsZero() || now.Sub(h.heard) > quietFor {
+			ask = append(ask, id)
+		}
+	}
+	c.mu.Unlock()
+	c.scatter(m, 0, ask, func(string) *historypb.Request {
+		return &historypb.Request{Call: &historypb.Request_Ping{Ping: &historypb.Ping{}}}
+	})
+}
--- a/daemon/quorum/quorum.go
+++ b/daemon/quorum/quorum.go
@@ -28,11 +28,14 @@
 	mu      sync.Mutex
 	slots   *placement.Map
 	clients map[string]*rpc.Client
+	health  map[string]*health // by member
+	// isolated is since when most slots cannot be served.
+	isolated time.Time
 }
 
 // New returns a client without a slot map. Replicas of dataCentre are read first.
 func New(dialer rpc.Dialer, dataCentre string, logger *log.Logger) *Client {
-	return &Client{dialer: dialer, dataCentre: dataCentre, logger: logger, clients: map[string]*rpc.Client{}}
+	return &Client{dialer: dialer, dataCentre: dataCentre, logger: logger, clients: map[string]*rpc.Client{}, health: map[string]*health{}}
 }
 
 // Ready reports whether a slot map with replicas is known.
@@ -64,12 +67,17 @@
 	c.logger.Info("slot map adopted", "epoch", m.Epoch, "source", source)
 }
 
-// drop closes the connections to members that are gone.
+// drop forgets members that are gone.
 func (c *Client) drop(m *placement.Map) {
 	wanted := map[string]bool{}
 	for _, x := range m.Members {
 		wanted[x.Address] = true
 	}
+	for id := range c.health {
+		if _, in := m.Members[id]; !in {
+			delete(c.health, id)
+		}
+	}
 	for address, client := range c.clients {
 		if !wanted[address] {
 			client.Close()
@@ -118,16 +126,23 @@
 	err    error
 }
 
+// callTimeout bounds one call to a member. It outlives the request that made it:
+// a member that never answers is found out also where others were enough.
+const callTimeout = time.Second
+
 // scatter sends a request to each of the members and returns their answers as
 // they come. The request for a member is made by build.
-func (c *Client) scatter(ctx context.Context, m *placement.Map, slot uint32, members []string, build func(member string) *historypb.Request) <-chan replyFrom {
+func (c *Client) scatter(m *placement.Map, slot uint32, members []string, build func(member string) *historypb.Request) <-chan replyFrom {
 	answers := make(chan replyFrom, len(members))
 	for _, id := range members {
 		req := build(id)
 		req.Member, req.Slot, req.Epoch = id, slot, m.Epoch
 		client := c.client(m.Members[id].Address)
 		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+			defer cancel()
 			reply, err := client.Call(ctx, req)
+			c.note(id, err)
 			if err == nil && reply.Status != historypb.Status_STATUS_OK {
 				if reply.Status == historypb.Status_STATUS_STALE_EPOCH {
 					c.adopt(reply.SlotMap, "member "+id)
@@ -140,6 +155,16 @@
 	return answers
 }
 
+// next waits for an answer; the end of the context counts as a failed one.
+func next(ctx context.Context, answers <-chan replyFrom) replyFrom {
+	select {
+	case a := <-answers:
+		return a
+	case <-ctx.Done():
+		return replyFrom{err: failure.Wrap(ctx.Err(), failure.PeerUnavailable, "wait for a member")}
+	}
+}
+
 // retryPause is between two tries with the replicas of a slot: long enough for a
 // process that was killed to be back, short against a caller's patience.
 const retryPause = 50 * time.Millisecond
@@ -184,13 +209,13 @@
 	for _, r := range s.Replicas {
 		members = append(members, r.Member)
 	}
-	answers := c.scatter(ctx, m, slot, members, func(string) *historypb.Request {
+	answers := c.scatter(m, slot, members, func(string) *historypb.Request {
 		return &historypb.Request{Call: &historypb.Request_Write{Write: &historypb.Write{Records: records}}}
 	})
 	acks := map[string]bool{}
 	var last error
 	for range members {
-		a := <-answers
+		a := next(ctx, answers)
 		if a.err != nil {
 			last = a.err
 			continue
--- a/daemon/quorum/read.go
+++ b/daemon/quorum/read.go
@@ -114,13 +114,13 @@
 			members = append(members, r.Member)
 		}
 	}
-	answers := c.scatter(ctx, m, slot, members, func(member string) *historypb.Request {
+	answers := c.scatter(m, slot, members, func(member string) *historypb.Request {
 		return &historypb.Request{Call: &historypb.Request_Read{Read: build(member)}}
 	})
 	need := m.ReadQuorum(s)
 	var last error
 	for range members {
-		a := <-answers
+		a := next(ctx, answers)
 		if a.err != nil {
 			last = a.err
 			continue
@@ -148,12 +148,12 @@
 	for id := range m.Members {
 		members = append(members, id)
 	}
-	answers := c.scatter(ctx, m, 0, members, func(string) *historypb.Request {
+	answers := c.scatter(m, 0, members, func(string) *historypb.Request {
 		return &historypb.Request{Call: &historypb.Request_Read{Read: &historypb.Read{Turn: turn, AnySlot: true}}}
 	})
 	answered := map[string]bool{}
 	for range members {
-		a := <-answers
+		a := next(ctx, answers)
 		if a.err != nil {
 			continue
 		}
