--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -13,11 +13,14 @@
 	"github.com/pistachioarch/pistachioarch/wire/targetpool"
 )
 
-// Idle times after which a kept connection is not reused: a request that must not
-// be repeated is lost if its target closes the connection at that moment.
+// Idle times after which a kept connection is not reused, however long its target
+// keeps it.
 const (
-	maxIdleRepeatable = 5 * time.Second
-	maxIdleOnce       = 500 * time.Millisecond
+	maxIdle = 10 * time.Second
+	// maxIdleFarOnce is for requests that must not be repeated, to another data
+	// centre: where the link was cut meanwhile, a new connection fails before
+	// anything is sent, a kept one takes the request with it.
+	maxIdleFarOnce = 500 * time.Millisecond
 )
 
 // hopByHop are the headers that concern only one connection.
@@ -132,9 +135,9 @@
 		Target: t.ID, Left: time.Until(x.deadline), LastEvent: lastEvent,
 	})
 	stripHop(header)
-	idle := maxIdleRepeatable
-	if x.route.Kind != routing.Idempotent {
-		idle = maxIdleOnce
+	idle := maxIdle
+	if x.route.Kind != routing.Idempotent && t.DataCentre != x.host.DataCentre {
+		idle = maxIdleFarOnce
 	}
 	return &targetpool.Request{
 		Address: t.Address, Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host,
--- a/daemon/settings/role.go
+++ b/daemon/settings/role.go
@@ -27,18 +27,22 @@
 	// Grace is the time from the order to stop to the kill.
 	Grace time.Duration
 	// Contact is how long the platform must have answered without trouble before
-	// bounds hold; Apply and Leave bound how long a configuration and a leaving
-	// target may go unheeded from then on.
-	Contact, Apply, Leave time.Duration
+	// its changes must be in force within their bounds.
+	Contact time.Duration
 }
 
-// watchMargin is kept of the bounds for what follows a watch that hung.
-const watchMargin = time.Second
+const (
+	// watchMargin is kept of the contact time for giving up a watch and reading anew.
+	watchMargin = time.Second
+	// watchLeast keeps watches from turning into polls where the contact time is short.
+	watchLeast = 500 * time.Millisecond
+)
 
-// WatchFor is how long one watch of the platform may wait: a watch that hung
-// through an outage is given up before the first bound after it ends.
+// WatchFor is how long one watch of the platform may wait. A watch can hang from
+// the last moment of an outage on; it is given up and what it missed is read
+// before the contact time after the outage has passed.
 func (r *Role) WatchFor() time.Duration {
-	return max(watchMargin, r.Contact+min(r.Apply, r.Leave)-watchMargin)
+	return max(watchLeast, r.Contact-watchMargin)
 }
 
 // HistoryListen is the address that history hosts listen on.
@@ -77,8 +81,6 @@
 		FaultHosts:      int(r.integer("faults", "hosts", 1, 0, 16)),
 		Grace:           r.milliseconds("timing", "grace_s", 1000, 8000),
 		Contact:         r.milliseconds("timing", "contact_ms", 1, 3000),
-		Apply:           r.milliseconds("timing", "config_apply_ms", 1, 2000),
-		Leave:           r.milliseconds("timing", "target_leave_ms", 1, 2000),
 	}
 	r.required("host", "name", s.Host)
 	r.required("host", "data_centre", s.DataCentre)
--- a/wire/targetpool/pool.go
+++ b/wire/targetpool/pool.go
@@ -37,7 +37,7 @@
 	idleMargin = time.Second
 	// idleDefault is assumed where a target does not say how long it keeps an idle
 	// connection.
-	idleDefault = 2 * time.Second
+	idleDefault = 500 * time.Millisecond
 	// readBuffer holds a head and a plain answer.
 	readBuffer = 4 << 10
 )
