--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -36,8 +36,18 @@
 	hasReport  bool
 	breaker    sched.Breaker
 	cache      prefixCache
+	// Unreachable targets are not picked; whoever set it probes them.
+	Unreachable bool
 }
 
+// Limits of the breaker of a target: a target that fails some requests in a row is
+// left alone for less time than a restart takes, and is tried again often enough
+// that its places are not missed for longer than a burst lasts.
+const (
+	breakerBase = 250 * time.Millisecond
+	breakerMax  = 2 * time.Second
+)
+
 // Registry holds all targets. Not safe for concurrent use.
 type Registry struct {
 	dataCentre string
@@ -54,7 +64,7 @@
 func (r *Registry) Set(l Listed) {
 	t := r.targets[l.ID]
 	if t == nil {
-		t = &Target{cache: newPrefixCache()}
+		t = &Target{cache: newPrefixCache(), breaker: sched.Breaker{Base: breakerBase, Max: breakerMax}}
 		r.targets[l.ID] = t
 		r.services[l.Service] = append(r.services[l.Service], t)
 	}
@@ -169,7 +179,7 @@
 	var best *Target
 	var bestCost float64
 	for _, t := range r.services[q.Service] {
-		if t.Draining || q.Exclude[t.ID] || t.breaker.Open(now) {
+		if t.Draining || t.Unreachable || q.Exclude[t.ID] || t.breaker.Open(now) {
 			continue
 		}
 		if cost := r.cost(t, q); best == nil || cost < bestCost {
--- a/core/sched/breaker.go
+++ b/core/sched/breaker.go
@@ -1,10 +1,13 @@
 package sched
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Limits of the circuit breaker. The breaker opens after breakerThreshold
-// failures in a row, for breakerBase, doubled on each further failure up to
-// breakerMax. Libraries for it read the clock themselves, which core may not.
+// failures in a row, for Base, doubled on each further failure up to Max.
+// Libraries for it read the clock themselves, which core may not.
 const (
 	breakerThreshold = 3
 	breakerBase      = time.Second
@@ -13,6 +16,10 @@
 
 // Breaker is a circuit breaker; its zero value is closed.
 type Breaker struct {
+	// Base and Max bound the time for which it is open; zero takes breakerBase and
+	// breakerMax.
+	Base, Max time.Duration
+
 	failures int
 	until    time.Duration
 	trial    bool
@@ -30,7 +37,7 @@
 }
 
 // Success closes the breaker.
-func (b *Breaker) Success() { *b = Breaker{} }
+func (b *Breaker) Success() { *b = Breaker{Base: b.Base, Max: b.Max} }
 
 // Failure counts one failure at now.
 func (b *Breaker) Failure(now time.Duration) {
@@ -39,6 +46,6 @@
 	if b.failures < breakerThreshold {
 		return
 	}
-	open := breakerBase << min(b.failures-breakerThreshold, 10)
-	b.until = now + min(open, breakerMax)
+	open := cmp.Or(b.Base, breakerBase) << min(b.failures-breakerThreshold, 10)
+	b.until = now + min(open, cmp.Or(b.Max, breakerMax))
 }
--- a/daemon/cmd/pistachiod/role.go
+++ b/daemon/cmd/pistachiod/role.go
@@ -108,9 +108,9 @@
 }
 
 const (
-	// connectTimeout bounds a dial: two round trips between data centres take some
-	// milliseconds, a target that resets or refuses answers at once.
-	connectTimeout = 500 * time.Millisecond
+	// connectTimeout bounds a dial: a round trip between data centres takes some
+	// milliseconds; a lost SYN is sent again after a second, too late for a caller.
+	connectTimeout = 250 * time.Millisecond
 	// unackedLimit closes a connection whose peer has acknowledged nothing for it.
 	unackedLimit = 1500 * time.Millisecond
 	// tcpUserTimeout is TCP_USER_TIMEOUT of Linux.
--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -90,7 +90,9 @@
 // try sends the request to one target and passes its answer on. again reports
 // that another target may be tried.
 func (x *exchange) try(ctx context.Context, t balance.Listed) (again bool, err error) {
-	resp, err := x.host.pool.Do(ctx, x.outgoing(t, x.call.LastEvent), x.decode)
+	guarded, release := x.host.reach.guard(ctx, t.ID, t.Address)
+	defer release()
+	resp, err := x.send(guarded, t, x.call.LastEvent)
 	if err != nil {
 		f := failure.From(err)
 		x.done(t.ID, nil, outcomeOf(ctx, f))
@@ -111,6 +113,19 @@
 	return x.plain(ctx, t, resp)
 }
 
+// send sends the request to one target; a connection that cannot be made starts
+// probes of it.
+func (x *exchange) send(ctx context.Context, t balance.Listed, lastEvent string) (*targetpool.Response, error) {
+	resp, err := x.host.pool.Do(ctx, x.outgoing(t, lastEvent), x.decode)
+	switch {
+	case err == nil:
+		x.host.reach.heard(t.ID)
+	case failure.From(err).Ran == failure.RanNo && ctx.Err() == nil:
+		x.host.reach.lost(t.ID, t.Address)
+	}
+	return resp, err
+}
+
 func refusal(a request.Answer) balance.Outcome {
 	if a.Moved {
 		return balance.Failed
--- a/daemon/entry/host.go
+++ b/daemon/entry/host.go
@@ -49,6 +49,7 @@
 	Options
 	table atomic.Pointer[routing.Table]
 	pool  *targetpool.Pool
+	reach *reach
 	start time.Time
 
 	mu       sync.Mutex
@@ -62,12 +63,14 @@
 
 // New returns a host without configuration and targets.
 func New(o Options) *Host {
-	return &Host{
+	h := &Host{
 		Options:  o,
 		pool:     targetpool.New(o.Dialer),
 		start:    time.Now(),
 		registry: balance.NewRegistry(o.DataCentre),
 	}
+	h.reach = newReach(h)
+	return h
 }
 
 // now is the host's monotonic time.
--- /dev/null
+++ b/daemon/entry/reach.go
@@ -0,0 +1,170 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pistachioarch/pistachioarch/core/failure"
+)
+
+const (
+	// silenceBeforeProbe is how long a target may say nothing on any connection
+	// before a new connection to it is tried. A first token on a busy engine takes
+	// some 300 ms; other requests at it are heard meanwhile.
+	silenceBeforeProbe = 300 * time.Millisecond
+	// probeTimeout is enough for a round trip between data centres (some ms) and a
+	// busy accept queue, and short against the second that a lost SYN costs.
+	probeTimeout = 250 * time.Millisecond
+	// probePause is between two probes of a target that cannot be reached.
+	probePause = 250 * time.Millisecond
+)
+
+// reach watches whether targets can be reached at all. A partition shows in none
+// of the open connections for seconds; a new connection shows it at once.
+type reach struct {
+	host *Host
+	mu   sync.Mutex
+	by   map[string]*line // by target
+}
+
+// line is the way to one target.
+type line struct {
+	heard   time.Time
+	probing bool
+	// cut is closed when the target cannot be reached, and replaced when it can be
+	// again.
+	cut chan struct{}
+}
+
+func newReach(h *Host) *reach { return &reach{host: h, by: map[string]*line{}} }
+
+// of returns the line to a target; the caller holds mu.
+func (r *reach) of(target string) *line {
+	l := r.by[target]
+	if l == nil {
+		l = &line{heard: time.Now(), cut: make(chan struct{})}
+		r.by[target] = l
+	}
+	return l
+}
+
+// heard notes bytes from a target.
+func (r *reach) heard(target string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.of(target).heard = time.Now()
+}
+
+// forget drops a target that is gone.
+func (r *reach) forget(target string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.by, target)
+}
+
+// guard returns a context that ends with errUnreachable when the target cannot be
+// reached any more, and probes it when it has been silent.
+func (r *reach) guard(ctx context.Context, target, address string) (context.Context, context.CancelFunc) {
+	r.mu.Lock()
+	cut := r.of(target).cut
+	r.mu.Unlock()
+	ctx, cancel := context.WithCancelCause(ctx)
+	go func() {
+		tick := time.NewTicker(silenceBeforeProbe)
+		defer tick.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-cut:
+				cancel(errUnreachable)
+				return
+			case <-tick.C:
+				r.check(target, address)
+			}
+		}
+	}()
+	return ctx, func() { cancel(nil) }
+}
+
+// errUnreachable is the cause of a context that guard ended.
+var errUnreachable = failure.New(failure.TargetFailed, "the target cannot be reached")
+
+// check starts a probe of a target that was silent for too long.
+func (r *reach) check(target, address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.of(target)
+	if l.probing || time.Since(l.heard) < silenceBeforeProbe {
+		return
+	}
+	l.probing = true
+	go r.probe(target, address)
+}
+
+// lost starts probes of a target to which no connection could be made.
+func (r *reach) lost(target, address string) {
+	r.mu.Lock()
+	l := r.of(target)
+	start := !l.probing
+	l.probing = true
+	r.mu.Unlock()
+	if start {
+		go r.probe(target, address)
+	}
+}
+
+// probe dials the target until it answers or is gone from the list.
+func (r *reach) probe(target, address string) {
+	for tries := 0; ; tries++ {
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		conn, err := r.host.Dialer.DialContext(ctx, "tcp", address)
+		cancel()
+		if err == nil {
+			_ = conn.Close()
+		}
+		r.result(target, err, tries)
+		if err == nil || !r.host.setReachable(target, false) {
+			r.end(target)
+			return
+		}
+		time.Sleep(probePause)
+	}
+}
+
+func (r *reach) result(target string, err error, tries int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.of(target)
+	switch {
+	case err == nil && tries > 0:
+		l.heard, l.cut = time.Now(), make(chan struct{})
+		r.host.Log.Info("target reachable again", "target", target, "probes", tries+1)
+	case err == nil:
+		l.heard = time.Now()
+	case tries == 0:
+		close(l.cut)
+		r.host.Log.Warn("target unreachable", "target", target, "error", err.Error())
+	}
+}
+
+func (r *reach) end(target string) {
+	r.host.setReachable(target, true)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l := r.by[target]; l != nil {
+		l.probing = false
+	}
+}
+
+// setReachable tells the registry; it reports whether the target is still listed.
+func (h *Host) setReachable(target string, reachable bool) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t, ok := h.registry.Target(target)
+	if ok {
+		t.Unreachable = !reachable
+	}
+	return ok
+}
--- a/daemon/entry/stream.go
+++ b/daemon/entry/stream.go
@@ -30,9 +30,11 @@
 		if !x.route.Resumable || ctx.Err() != nil || errors.Is(err, errCallerWrite) {
 			return false, f
 		}
-		if t, resp, err = x.resume(ctx, last); err != nil {
+		var release context.CancelFunc
+		if t, resp, release, err = x.resume(ctx, last); err != nil {
 			return false, failure.Unknown(failure.BadAnswer, "%v; resume: %v", f, err)
 		}
+		defer release()
 		defer resp.Body.Close()
 	}
 }
@@ -53,6 +55,7 @@
 			return err
 		}
 		x.begin(resp)
+		x.host.reach.heard(x.target)
 		if x.turn != nil {
 			x.turn.note(e)
 		}
@@ -79,16 +82,19 @@
 	x.w.WriteHeader(resp.Status)
 }
 
-// resume sends the request to another target, after the last event passed on.
-func (x *exchange) resume(ctx context.Context, last string) (balance.Listed, *targetpool.Response, error) {
+// resume sends the request to another target, after the last event passed on. The
+// caller releases the guard of the new target.
+func (x *exchange) resume(ctx context.Context, last string) (balance.Listed, *targetpool.Response, context.CancelFunc, error) {
 	for x.sends < x.route.Attempts {
 		t, err := x.pick()
 		if err != nil {
-			return balance.Listed{}, nil, err
+			return balance.Listed{}, nil, nil, err
 		}
 		x.host.Log.Info("stream resumed", "request", x.call.ID, "target", t.ID, "after_event", last)
-		resp, err := x.host.pool.Do(ctx, x.outgoing(t, last), x.decode)
+		guarded, release := x.host.reach.guard(ctx, t.ID, t.Address)
+		resp, err := x.send(guarded, t, last)
 		if err != nil {
+			release()
 			f := failure.From(err)
 			x.done(t.ID, nil, outcomeOf(ctx, f))
 			if f.Ran != failure.RanNo {
@@ -98,12 +104,13 @@
 		}
 		x.sends++
 		if resp.Status == http.StatusOK {
-			return t, resp, nil
+			return t, resp, release, nil
 		}
 		x.done(t.ID, &resp.Answer, balance.Refused)
 		_ = resp.Body.Close()
+		release()
 	}
-	return balance.Listed{}, nil, failure.Unknown(failure.TargetFailed, "%d targets tried", x.sends)
+	return balance.Listed{}, nil, nil, failure.Unknown(failure.TargetFailed, "%d targets tried", x.sends)
 }
 
 // finishStream makes a turn durable before its caller sees it end.
--- a/daemon/entry/view.go
+++ b/daemon/entry/view.go
@@ -118,6 +118,7 @@
 		v.host.mu.Lock()
 		v.host.registry.Remove(e.Object.Name)
 		v.host.mu.Unlock()
+		v.host.reach.forget(e.Object.Name)
 		v.host.Log.Info("target gone", "target", e.Object.Name)
 	}
 }
--- a/wire/targetpool/exchange.go
+++ b/wire/targetpool/exchange.go
@@ -74,15 +74,21 @@
 	return resp, nil
 }
 
-// contextError names the end of the context as the cause, where it is one.
+// contextError names the end of the context as the cause, where it is one: the
+// cause's own kind if it is a Failure.
 func contextError(ctx context.Context, err error) error {
 	if ctx.Err() == nil {
 		return err
 	}
 	f := *failure.From(err)
-	f.Kind = failure.CallerGone
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+	var cause *failure.Failure
+	switch {
+	case errors.As(context.Cause(ctx), &cause):
+		f.Kind = cause.Kind
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		f.Kind = failure.Timeout
+	default:
+		f.Kind = failure.CallerGone
 	}
 	return &f
 }
