--- a/daemon/entry/reach.go
+++ b/daemon/entry/reach.go
@@ -32,9 +32,10 @@
 type line struct {
 	heard   time.Time
 	probing bool
-	// cut is closed when the target cannot be reached, and replaced when it can be
-	// again.
-	cut chan struct{}
+	// broken is true and cut closed while the target cannot be reached; cut is
+	// replaced when it can be again.
+	broken bool
+	cut    chan struct{}
 }
 
 func newReach(h *Host) *reach { return &reach{host: h, by: map[string]*line{}} }
@@ -124,37 +125,43 @@
 		if err == nil {
 			_ = conn.Close()
 		}
-		r.result(target, err, tries)
-		if err == nil || !r.host.setReachable(target, false) {
-			r.end(target)
+		if err == nil {
+			r.reached(target, tries)
+			return
+		}
+		r.missed(target, err)
+		if !r.host.setReachable(target, false) {
+			r.forget(target)
 			return
 		}
 		time.Sleep(probePause)
 	}
 }
 
-func (r *reach) result(target string, err error, tries int) {
+// missed notes a probe that did not get through; the first ends the requests at
+// the target.
+func (r *reach) missed(target string, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := r.of(target)
-	switch {
-	case err == nil && tries > 0:
-		l.heard, l.cut = time.Now(), make(chan struct{})
-		r.host.Log.Info("target reachable again", "target", target, "probes", tries+1)
-	case err == nil:
-		l.heard = time.Now()
-	case tries == 0:
-		close(l.cut)
-		r.host.Log.Warn("target unreachable", "target", target, "error", err.Error())
+	if l.broken {
+		return
 	}
+	l.broken = true
+	close(l.cut)
+	r.host.Log.Warn("target unreachable", "target", target, "error", err.Error())
 }
 
-func (r *reach) end(target string) {
+// reached notes a probe that got through.
+func (r *reach) reached(target string, tries int) {
 	r.host.setReachable(target, true)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if l := r.by[target]; l != nil {
-		l.probing = false
+	l := r.of(target)
+	l.heard, l.probing = time.Now(), false
+	if l.broken {
+		l.broken, l.cut = false, make(chan struct{})
+		r.host.Log.Info("target reachable again", "target", target, "probes", tries+1)
 	}
 }
 
--- /dev/null
+++ b/daemon/entry/reach_test.go
@@ -0,0 +1,90 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachioarch/pistachioarch/core/balance"
+)
+
+// lineDialer connects or hangs, as a link that works or is cut.
+type lineDialer struct{ cut atomic.Bool }
+
+func (d *lineDialer) DialContext(ctx context.Context, _, _ string) (net.Conn, error) {
+	if d.cut.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	near, _ := net.Pipe()
+	return near, nil
+}
+
+func newReachHost(d *lineDialer) *Host {
+	h := New(Options{Dialer: d, DataCentre: "dc1", Log: quietLog()})
+	h.registry.Set(balance.Listed{ID: "t1", Service: "s", Address: "a"})
+	return h
+}
+
+func (h *Host) reachable(t *testing.T) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	x, ok := h.registry.Target("t1")
+	require.True(t, ok)
+	return !x.Unreachable
+}
+
+func TestSilentTargetBehindACutIsGivenUpAndFoundAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &lineDialer{}
+		h := newReachHost(d)
+		ctx, release := h.reach.guard(t.Context(), "t1", "a")
+		defer release()
+		time.Sleep(5 * time.Second)
+		require.NoError(t, ctx.Err(), "a silent target that can be reached is left alone")
+		d.cut.Store(true)
+		began := time.Now()
+		<-ctx.Done()
+		require.ErrorIs(t, context.Cause(ctx), errUnreachable)
+		require.LessOrEqual(t, time.Since(began), 2*silenceBeforeProbe+probeTimeout)
+		require.False(t, h.reachable(t))
+		time.Sleep(10 * time.Second)
+		d.cut.Store(false)
+		time.Sleep(probeTimeout + 2*probePause)
+		require.True(t, h.reachable(t))
+	})
+}
+
+// A target that leaves the list while it is behind a cut, and comes back to it, is
+// probed anew.
+func TestTargetThatIsListedAgainBehindTheSameCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &lineDialer{}
+		d.cut.Store(true)
+		h := newReachHost(d)
+		h.reach.lost("t1", "a")
+		time.Sleep(time.Second)
+		h.mu.Lock()
+		h.registry.Keep(map[string]bool{})
+		h.mu.Unlock()
+		time.Sleep(time.Second)
+		h.mu.Lock()
+		h.registry.Set(balance.Listed{ID: "t1", Service: "s", Address: "a"})
+		h.mu.Unlock()
+		h.reach.lost("t1", "a")
+		time.Sleep(time.Second)
+		require.False(t, h.reachable(t))
+		d.cut.Store(false)
+		time.Sleep(time.Second)
+		require.True(t, h.reachable(t))
+		ctx, release := h.reach.guard(t.Context(), "t1", "a")
+		defer release()
+		time.Sleep(time.Second)
+		require.NoError(t, ctx.Err())
+	})
+}
