--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -174,19 +174,50 @@
 	fullWeight = 2
 )
 
+// Choice is the target picked, and what decided.
+type Choice struct {
+	*Target
+	// Load and Places are the target's estimated requests and its places.
+	Load, Places int
+	// Missing is the part of the prompt, in tokens, that the target must read.
+	Missing int64
+	// ReportAge is the age of the target's last word of its load; negative if none.
+	ReportAge time.Duration
+	// Candidates is how many targets could have been picked.
+	Candidates int
+}
+
 // Pick returns the best target for a request, if there is any.
-func (r *Registry) Pick(q Query, now time.Duration) (*Target, bool) {
+func (r *Registry) Pick(q Query, now time.Duration) (Choice, bool) {
 	var best *Target
 	var bestCost float64
+	candidates := 0
 	for _, t := range r.services[q.Service] {
 		if t.Draining || t.Unreachable || q.Exclude[t.ID] || t.breaker.Open(now) {
 			continue
 		}
+		candidates++
 		if cost := r.cost(t, q); best == nil || cost < bestCost {
 			best, bestCost = t, cost
 		}
 	}
-	return best, best != nil
+	if best == nil {
+		return Choice{}, false
+	}
+	return best.choice(q, now, candidates), true
+}
+
+func (t *Target) choice(q Query, now time.Duration, candidates int) Choice {
+	c := Choice{Target: t, Load: t.Load(), Places: t.Places, Missing: t.missing(q), ReportAge: -1, Candidates: candidates}
+	if t.hasReport {
+		c.ReportAge = now - t.reportedAt
+	}
+	return c
+}
+
+// missing is the part of the prompt that the target has not read yet.
+func (t *Target) missing(q Query) int64 {
+	return max(0, q.PromptTokens-t.cache.covered(q.Parts))
 }
 
 func (r *Registry) cost(t *Target, q Query) float64 {
@@ -200,8 +231,7 @@
 		cost += farWeight
 	}
 	if q.PromptTokens > 0 {
-		missing := q.PromptTokens - t.cache.covered(q.Parts)
-		cost += prefillWeight * float64(max(0, missing)) / float64(q.PromptTokens)
+		cost += prefillWeight * float64(t.missing(q)) / float64(q.PromptTokens)
 	}
 	return cost
 }
--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -59,17 +59,24 @@
 func (x *exchange) pick() (balance.Listed, error) {
 	h := x.host
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	t, ok := h.registry.Pick(balance.Query{
+	c, ok := h.registry.Pick(balance.Query{
 		Service: x.service, Parts: x.call.Prefix, PromptTokens: x.call.PromptTokens, Exclude: x.tried,
 	}, h.now())
 	if !ok {
-		return balance.Listed{}, failure.Retry(failure.NoTarget, retryLater, "no target of %s among %d", x.service, h.registry.Size())
+		size := h.registry.Size()
+		h.mu.Unlock()
+		return balance.Listed{}, failure.Retry(failure.NoTarget, retryLater, "no target of %s among %d", x.service, size)
 	}
-	t.Sent(x.call.Prefix, h.now())
-	x.tried[t.ID] = true
-	x.target = t.ID
-	return t.Listed, nil
+	listed := c.Listed
+	c.Sent(x.call.Prefix, h.now())
+	h.mu.Unlock()
+	x.tried[listed.ID] = true
+	x.target = listed.ID
+	h.Log.Info("request routed", "request", x.call.ID, "program", x.call.Program, "route", x.route.Name, "config", x.table.Version,
+		"target", listed.ID, "data_centre", listed.DataCentre, "load", c.Load, "places", c.Places, "report_age_ms", c.ReportAge.Milliseconds(),
+		"prompt", x.call.PromptTokens, "missing", c.Missing, "candidates", c.Candidates, "send", x.sends+1,
+		"left_ms", time.Until(x.deadline).Milliseconds(), "after_ms", time.Since(x.began).Milliseconds())
+	return listed, nil
 }
 
 // done reports the end of a send to the registry.
--- a/daemon/entry/handle.go
+++ b/daemon/entry/handle.go
@@ -29,10 +29,11 @@
 	service string
 	tried   map[string]bool
 	sends   int
-	// answered is set once the head of an answer went to the caller.
-	answered bool
-	turn     *turn
-	target   string
+	// answered is set once the head of an answer went to the caller, at firstByte.
+	answered  bool
+	firstByte time.Time
+	turn      *turn
+	target    string
 }
 
 // retryLater is when a caller that was refused may come back: time for a target
@@ -50,7 +51,22 @@
 	}
 	if err := x.serve(); err != nil {
 		x.fail(failure.From(err))
+		return
 	}
+	x.logAnswer()
+}
+
+// logAnswer says how a request that was answered by a target went.
+func (x *exchange) logAnswer() {
+	first, events := time.Duration(0), int64(0)
+	if x.turn != nil {
+		events = x.turn.events
+	}
+	if !x.firstByte.IsZero() {
+		first = x.firstByte.Sub(x.began)
+	}
+	x.host.Log.Info("request answered", "request", x.call.ID, "program", x.call.Program, "target", x.target, "sends", x.sends,
+		"first_ms", first.Milliseconds(), "after_ms", time.Since(x.began).Milliseconds(), "events", events)
 }
 
 func (x *exchange) serve() error {
--- a/daemon/entry/stream.go
+++ b/daemon/entry/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/pistachioarch/pistachioarch/core/balance"
 	"github.com/pistachioarch/pistachioarch/core/failure"
@@ -78,7 +79,7 @@
 		return
 	}
 	x.copyHead(resp.Header)
-	x.answered = true
+	x.answered, x.firstByte = true, time.Now()
 	x.w.WriteHeader(resp.Status)
 }
 
