--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -53,11 +53,12 @@
 	dataCentre string
 	targets    map[string]*Target
 	services   map[string][]*Target
+	homeOf     map[string]map[string]bool // by first part, targets
 }
 
 // NewRegistry returns an empty registry of a host in dataCentre.
 func NewRegistry(dataCentre string) *Registry {
-	return &Registry{dataCentre: dataCentre, targets: map[string]*Target{}, services: map[string][]*Target{}}
+	return &Registry{dataCentre: dataCentre, targets: map[string]*Target{}, services: map[string][]*Target{}, homeOf: map[string]map[string]bool{}}
 }
 
 // Set adds or changes a target.
@@ -67,6 +68,10 @@
 		t = &Target{cache: newPrefixCache(), breaker: sched.Breaker{Base: breakerBase, Max: breakerMax}}
 		r.targets[l.ID] = t
 		r.services[l.Service] = append(r.services[l.Service], t)
+		clear(r.homeOf)
+	}
+	if t.Draining != l.Draining {
+		clear(r.homeOf)
 	}
 	t.Listed = l
 }
@@ -78,6 +83,7 @@
 		return
 	}
 	delete(r.targets, id)
+	clear(r.homeOf)
 	list := r.services[t.Service]
 	for i, x := range list {
 		if x == t {
@@ -167,7 +173,7 @@
 // Weights of the cost, in units of one full target.
 const (
 	// prefillWeight is the cost of reading a whole prompt that is not cached.
-	prefillWeight = 0.5
+	prefillWeight = 1.5
 	// farWeight is the cost of another data centre: the way, and priced bytes.
 	farWeight = 0.1
 	// fullWeight is added where all places are taken.
@@ -204,11 +210,11 @@
 	if best == nil {
 		return Choice{}, false
 	}
-	return best.choice(q, now, candidates), true
+	return best.choice(r.missing(best, q), now, candidates), true
 }
 
-func (t *Target) choice(q Query, now time.Duration, candidates int) Choice {
-	c := Choice{Target: t, Load: t.Load(), Places: t.Places, Missing: t.missing(q), ReportAge: -1, Candidates: candidates}
+func (t *Target) choice(missing int64, now time.Duration, candidates int) Choice {
+	c := Choice{Target: t, Load: t.Load(), Places: t.Places, Missing: missing, ReportAge: -1, Candidates: candidates}
 	if t.hasReport {
 		c.ReportAge = now - t.reportedAt
 	}
@@ -216,8 +222,12 @@
 }
 
 // missing is the part of the prompt that the target has not read yet.
-func (t *Target) missing(q Query) int64 {
-	return max(0, q.PromptTokens-t.cache.covered(q.Parts))
+func (r *Registry) missing(t *Target, q Query) int64 {
+	covered := t.cache.covered(q.Parts)
+	if covered == 0 && len(q.Parts) > 1 && r.homes(q.Service, q.Parts[0].ID)[t.ID] {
+		covered = int64(homeTrust * float64(q.Parts[0].Tokens))
+	}
+	return max(0, q.PromptTokens-covered)
 }
 
 func (r *Registry) cost(t *Target, q Query) float64 {
@@ -231,7 +241,7 @@
 		cost += farWeight
 	}
 	if q.PromptTokens > 0 {
-		cost += prefillWeight * float64(t.missing(q)) / float64(q.PromptTokens)
+		cost += prefillWeight * float64(r.missing(t, q)) / float64(q.PromptTokens)
 	}
 	return cost
 }
--- /dev/null
+++ b/core/balance/home.go
@@ -0,0 +1,53 @@
+package balance
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+)
+
+const (
+	// homeShare is the part of a service's targets that are homes of a prompt's first
+	// part. Entry hosts do not tell each other what engines have read; with homes
+	// they send a shared part to the same few engines without a word.
+	homeShare = 0.25
+	// homeLeast lets a shared part have two homes where targets are few.
+	homeLeast = 2
+	// homeTrust is how much of the part a home is taken to have.
+	homeTrust = 0.7
+	// homesKept bounds the first parts remembered.
+	homesKept = 1024
+)
+
+// homes returns the targets that are homes of a first part: those with the
+// highest hash of part and target, so that few move when targets come and go.
+func (r *Registry) homes(service, part string) map[string]bool {
+	if h, ok := r.homeOf[part]; ok {
+		return h
+	}
+	if len(r.homeOf) >= homesKept {
+		clear(r.homeOf)
+	}
+	list := slices.Clone(r.services[service])
+	list = slices.DeleteFunc(list, func(t *Target) bool { return t.Draining })
+	slices.SortFunc(list, func(a, b *Target) int {
+		return cmp.Or(cmp.Compare(affinity(part, b.ID), affinity(part, a.ID)), cmp.Compare(a.ID, b.ID))
+	})
+	n := max(homeLeast, int(homeShare*float64(len(list))+0.5))
+	h := map[string]bool{}
+	for _, t := range list[:min(n, len(list))] {
+		h[t.ID] = true
+	}
+	r.homeOf[part] = h
+	return h
+}
+
+func affinity(part, target string) uint64 {
+	f := fnv.New64a()
+	f.Write([]byte(part))
+	f.Write([]byte(target))
+	x := f.Sum64()
+	x ^= x >> 31 // FNV mixes the last bytes badly
+	x *= 0x9e3779b97f4a7c15
+	return x ^ x>>29
+}
--- a/ctl/always/always_test.go
+++ b/ctl/always/always_test.go
@@ -134,7 +134,7 @@
 	o.config = c.platform.History(host.ConfigKey)
 	for name, e := range c.engines {
 		o.calls[name] = e.Calls()
-		if !c.net.listeners[enginePlace(name)+":80"].closed() {
+		if c.net.Listening(enginePlace(name) + ":80") {
 			o.cached[name] = e.Cached()
 		}
 	}
--- a/ctl/always/cluster_test.go
+++ b/ctl/always/cluster_test.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -23,6 +22,7 @@
 	"github.com/pistachioarch/pistachioarch/ctl/load"
 	"github.com/pistachioarch/pistachioarch/ctl/standin"
 	"github.com/pistachioarch/pistachioarch/ctl/store"
+	"github.com/pistachioarch/pistachioarch/ctl/vnet"
 	"github.com/pistachioarch/pistachioarch/daemon/node"
 	"github.com/pistachioarch/pistachioarch/daemon/settings"
 	"github.com/pistachioarch/pistachioarch/wire/platform"
@@ -45,7 +45,7 @@
 // bubble of virtual time.
 type cluster struct {
 	t        *testing.T
-	net      *network
+	net      *vnet.Network
 	platform *standin.Platform
 	engines  map[string]*standin.Engine
 	service  *standin.Service
@@ -67,7 +67,7 @@
 
 func newCluster(t *testing.T) *cluster {
 	c := &cluster{
-		t: t, net: newNetwork(), platform: standin.NewPlatform(), engines: map[string]*standin.Engine{},
+		t: t, net: vnet.New(), platform: standin.NewPlatform(), engines: map[string]*standin.Engine{},
 		service: standin.NewService(), members: map[string]*member{}, servers: map[string]*http.Server{}, versions: map[string][]uint64{},
 	}
 	c.client = c.clientAt(clientPlace)
@@ -89,20 +89,20 @@
 }
 
 func (c *cluster) clientAt(place string) *http.Client {
-	return &http.Client{Transport: &http.Transport{DialContext: dialer{c.net, place}.DialContext, IdleConnTimeout: time.Second}}
+	return &http.Client{Transport: &http.Transport{DialContext: vnet.Dialer{Net: c.net, From: place}.DialContext, IdleConnTimeout: time.Second}}
 }
 
 func (c *cluster) serve(place string, h http.Handler) {
 	s := &http.Server{Handler: h, ErrorLog: log.New(io.Discard).StandardLog()}
 	c.servers[place] = s
-	l := c.net.listen(place + ":80")
+	l := c.net.Listen(place + ":80")
 	go func() { _ = s.Serve(l) }()
 }
 
 // stopServer kills a stand-in's process.
 func (c *cluster) stopServer(place string) {
 	_ = c.servers[place].Close()
-	c.net.crash(place)
+	c.net.Crash(place)
 }
 
 func (c *cluster) settings(m *member) *settings.Settings {
@@ -134,8 +134,8 @@
 	c.seed++
 	opt := node.Options{
 		Settings: c.settings(m), Log: log.NewWithOptions(logTo, log.Options{Formatter: log.JSONFormatter, Level: log.DebugLevel, ReportTimestamp: true, TimeFormat: "15:04:05.000"}),
-		Dialer: dialer{c.net, m.place}, Seed: c.seed,
-		Callers: c.net.listen(m.place + ":1"), Operators: c.net.listen(m.place + ":2"), Peers: c.net.listen(m.place + ":3"),
+		Dialer: vnet.Dialer{Net: c.net, From: m.place}, Seed: c.seed,
+		Callers: c.net.Listen(m.place + ":1"), Operators: c.net.Listen(m.place + ":2"), Peers: c.net.Listen(m.place + ":3"),
 	}
 	n, err := node.New(opt)
 	require.NoError(c.t, err)
@@ -178,9 +178,9 @@
 	if n == nil {
 		return
 	}
-	c.net.crash(c.members[name].place)
+	c.net.Crash(c.members[name].place)
 	n.Kill()
-	c.net.crash(c.members[name].place)
+	c.net.Crash(c.members[name].place)
 }
 
 // stop ends a host in good order, in the background.
@@ -201,11 +201,11 @@
 			continue
 		}
 		if fromPlatform {
-			c.net.cut(m.place, platformPlace, on)
+			c.net.Cut(m.place, platformPlace, on)
 		}
 		for _, o := range c.members {
 			if fromOthers && o.dc != dc {
-				c.net.cut(m.place, o.place, on)
+				c.net.Cut(m.place, o.place, on)
 			}
 		}
 	}
@@ -297,7 +297,7 @@
 
 // close ends everything, so that the bubble can end.
 func (c *cluster) close() {
-	c.net.update(func() { clear(c.net.blocked); clear(c.net.frozen) })
+	c.net.Heal()
 	for _, name := range slices.Sorted(maps.Keys(c.members)) {
 		c.kill(name)
 	}
@@ -307,5 +307,3 @@
 		c.stopServer(place)
 	}
 }
-
-var _ net.Listener = (*listener)(nil)
--- /dev/null
+++ b/ctl/roles/always_test.go
@@ -0,0 +1,216 @@
+// Package roles proves what must always hold of a system of entry and history
+// hosts. Every test runs over one table of fault cases; each case runs the real
+// code of four entry and four history hosts once, on virtual time. The tests
+// judge by what targets ran and by what callers got.
+package roles
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachioarch/pistachioarch/ctl/standin"
+)
+
+const (
+	programs = 12
+	turns    = 8
+	// leaveWithin is how long a leaving target may still get requests.
+	leaveWithin = 2 * time.Second
+	// inForceWithin is how long a configuration may take to be in force.
+	inForceWithin = 2 * time.Second
+)
+
+// outcome is what one case left behind.
+type outcome struct {
+	tries    []try
+	failures []string
+	finished int
+	// runs are what engines and plain services ran, by request.
+	runs map[string][]standin.Run
+	// afterLeaving are requests that the leaving target ran too late.
+	afterLeaving []standin.Run
+	// versions are what each entry host answered to requests on the newest route.
+	behind []string
+}
+
+var (
+	once     sync.Once
+	outcomes = map[string]*outcome{}
+	// onlyCase, from the environment, limits the table to one case.
+	onlyCase = os.Getenv("ROLES_CASE")
+)
+
+// all carries every case out, once for all tests. They share one bubble of virtual
+// time, since yamux keeps timers in a pool of the process.
+func all(t *testing.T) {
+	once.Do(func() {
+		synctest.Test(t, func(t *testing.T) {
+			for _, fc := range faultCases {
+				if onlyCase == "" || onlyCase == fc.name {
+					outcomes[fc.name] = carryOut(t, fc)
+				}
+			}
+		})
+	})
+	require.NotEmpty(t, outcomes)
+}
+
+func carryOut(t *testing.T, fc faultCase) *outcome {
+	c := newCluster(t)
+	defer c.close()
+	k := newCaller(c)
+	defer k.client.CloseIdleConnections()
+	var work sync.WaitGroup
+	for n := range programs {
+		work.Go(func() { k.program(n, turns) })
+	}
+	time.Sleep(500 * time.Millisecond)
+	fc.inject(c)
+	work.Wait()
+	o := &outcome{runs: map[string][]standin.Run{}}
+	// After the fault, a target leaves and a configuration changes.
+	c.list(c.engines[2].ID, engineService, "10.3.7.2", 2, true)
+	left := time.Now()
+	version := c.configure(8 * time.Second)
+	for n := range programs / 2 {
+		work.Go(func() { k.program(100+n, 3) })
+	}
+	time.Sleep(inForceWithin)
+	for i := range c.entries {
+		if got := k.send("", fmt.Sprintf("/v%d/", version), "", i, nil); got.Status != http.StatusOK {
+			o.behind = append(o.behind, fmt.Sprintf("%s: %d", c.entries[i].name, got.Status))
+		}
+	}
+	work.Wait()
+	for _, e := range append(append([]*standin.TurnEngine(nil), c.engines...), c.plain...) {
+		for _, r := range e.Runs() {
+			o.runs[r.ID] = append(o.runs[r.ID], r)
+			if e == c.engines[2] && r.At.Sub(left) > leaveWithin {
+				o.afterLeaving = append(o.afterLeaving, r)
+			}
+		}
+	}
+	o.tries, o.failures, o.finished = k.tries, k.failures, k.finished
+	return o
+}
+
+// each runs a check over the outcome of every case.
+func each(t *testing.T, check func(t *testing.T, fc faultCase, o *outcome)) {
+	all(t)
+	for _, fc := range faultCases {
+		if o := outcomes[fc.name]; o != nil {
+			t.Run(fc.name, func(t *testing.T) { check(t, fc, o) })
+		}
+	}
+}
+
+// wholeTurns are the turns that were answered whole, by id.
+func (o *outcome) wholeTurns() map[string]try {
+	list := map[string]try{}
+	for _, x := range o.tries {
+		if x.Path == "/turn/" && x.Status == http.StatusOK && x.Whole {
+			list[x.ID] = x
+		}
+	}
+	return list
+}
+
+func TestEveryProgramEnds(t *testing.T) {
+	each(t, func(t *testing.T, _ faultCase, o *outcome) {
+		assert.Empty(t, o.failures)
+		assert.Equal(t, programs+programs/2, o.finished)
+	})
+}
+
+// A turn's prompt is the program's turns so far, in order, and nothing else.
+func TestAlwaysHistoryIsWholeAndInOrder(t *testing.T) {
+	each(t, func(t *testing.T, _ faultCase, o *outcome) {
+		for id, x := range o.wholeTurns() {
+			run := o.runs[id][0]
+			require.True(t, strings.HasSuffix(run.Body, x.Body))
+			parts := strings.SplitAfter(strings.TrimSuffix(run.Body, x.Body), ";")
+			for i, in := range parts[:len(parts)-1] {
+				// Each earlier input, after the output of the one before.
+				_, input, _ := strings.Cut(in, "\n"+x.Program)
+				if i == 0 {
+					input = strings.TrimPrefix(in, x.Program)
+				} else if at := strings.LastIndex(in, "\n"); at >= 0 {
+					input = strings.TrimPrefix(in[at+1:], x.Program)
+				}
+				require.Equal(t, fmt.Sprintf("-in%d;", i), input, "request %s: %q", id, run.Body)
+			}
+		}
+	})
+}
+
+func TestAlwaysWholeAnswerToItsCaller(t *testing.T) {
+	each(t, func(t *testing.T, _ faultCase, o *outcome) {
+		for id, x := range o.wholeTurns() {
+			want := ""
+			for i := 1; i <= 5; i++ {
+				want += fmt.Sprintf("id: %d\ndata: %s.%d\n\n", i, id, i)
+			}
+			require.Equal(t, want, x.Answer)
+		}
+	})
+}
+
+func TestAlwaysNotRunIsTrue(t *testing.T) {
+	each(t, func(t *testing.T, _ faultCase, o *outcome) {
+		for _, x := range o.tries {
+			switch x.Status {
+			case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusPaymentRequired, http.StatusNotFound:
+				require.Empty(t, o.runs[x.ID], "%s answered %d", x.ID, x.Status)
+			}
+		}
+	})
+}
+
+func TestAlwaysAtMostOnce(t *testing.T) {
+	each(t, func(t *testing.T, _ faultCase, o *outcome) {
+		for id, runs := range o.runs {
+			require.Len(t, runs, 1, "request %s", id)
+		}
+	})
+}
+
+func TestAlwaysBudgetHolds(t *testing.T) {
+	each(t, func(t *testing.T, _ faultCase, o *outcome) {
+		handed := map[string]int{}
+		for _, x := range o.tries {
+			handed[x.Program] += eventTokens * strings.Count(x.Answer, "data: ")
+		}
+		for program, tokens := range handed {
+			require.LessOrEqual(t, tokens, budget+maxTokens, program)
+		}
+	})
+}
+
+func TestAlwaysLeavingTargetGetsNoNewWork(t *testing.T) {
+	each(t, func(t *testing.T, _ faultCase, o *outcome) { assert.Empty(t, o.afterLeaving) })
+}
+
+func TestAlwaysConfigurationIsInForce(t *testing.T) {
+	each(t, func(t *testing.T, _ faultCase, o *outcome) { assert.Empty(t, o.behind) })
+}
+
+func TestAlwaysPlannedWorkCutsNothing(t *testing.T) {
+	each(t, func(t *testing.T, fc faultCase, o *outcome) {
+		if !fc.planned {
+			return
+		}
+		for _, x := range o.tries {
+			require.False(t, x.Cut, "%+v", x)
+			require.NotContains(t, []int{http.StatusBadGateway, http.StatusGatewayTimeout}, x.Status, "%+v", x)
+		}
+	})
+}
--- a/ctl/always/network_test.go
+++ b/ctl/vnet/vnet.go
@@ -1,4 +1,6 @@
-package always
+// Package vnet is an in-memory network for tests on virtual time: hosts with
+// addresses "IP:port", links that can be cut, places that freeze or crash.
+package vnet
 
 import (
 	"context"
@@ -7,26 +9,27 @@
 	"syscall"
 )
 
-// network is an in-memory network of hosts with addresses "IP:port", which can
+// Network is an in-memory network of hosts with addresses "IP:port", which can
 // be cut between places and frozen at one.
-type network struct {
+type Network struct {
 	mu        sync.Mutex
-	listeners map[string]*listener
+	listeners map[string]*Listener
 	conns     map[*conn]struct{}
 	blocked   map[[2]string]bool // pairs of places that are cut off from each other
 	frozen    map[string]bool    // places whose traffic stalls
 	changed   chan struct{}      // closed and replaced at each change
 }
 
-func newNetwork() *network {
-	return &network{
-		listeners: map[string]*listener{}, conns: map[*conn]struct{}{}, blocked: map[[2]string]bool{},
+// New returns a network where everything reaches everything.
+func New() *Network {
+	return &Network{
+		listeners: map[string]*Listener{}, conns: map[*conn]struct{}{}, blocked: map[[2]string]bool{},
 		frozen: map[string]bool{}, changed: make(chan struct{}),
 	}
 }
 
 // update changes the state of the network and wakes what stalls.
-func (n *network) update(change func()) {
+func (n *Network) update(change func()) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	change()
@@ -34,15 +37,25 @@
 	n.changed = make(chan struct{})
 }
 
-func (n *network) cut(a, b string, on bool) {
+// Cut cuts two places off from each other, or joins them again.
+func (n *Network) Cut(a, b string, on bool) {
 	n.update(func() { n.blocked[[2]string{a, b}], n.blocked[[2]string{b, a}] = on, on })
 }
 
-func (n *network) freeze(place string, on bool) { n.update(func() { n.frozen[place] = on }) }
+// Heal ends all cuts and freezes.
+func (n *Network) Heal() {
+	n.update(func() {
+		clear(n.blocked)
+		clear(n.frozen)
+	})
+}
 
-// crash closes every listener and connection of a place, as when its process
+// Freeze stalls all traffic of a place, or lets it pass again.
+func (n *Network) Freeze(place string, on bool) { n.update(func() { n.frozen[place] = on }) }
+
+// Crash closes every connection of a place, as when its process
 // dies.
-func (n *network) crash(place string) {
+func (n *Network) Crash(place string) {
 	n.mu.Lock()
 	var gone []*conn
 	for c := range n.conns {
@@ -57,12 +70,12 @@
 }
 
 // stalled reports whether traffic between two places does not pass now.
-func (n *network) stalled(from, to string) bool {
+func (n *Network) stalled(from, to string) bool {
 	return n.blocked[[2]string{from, to}] || n.frozen[from] || n.frozen[to]
 }
 
 // await waits until traffic passes, or done is closed.
-func (n *network) await(from, to string, done <-chan struct{}) bool {
+func (n *Network) await(from, to string, done <-chan struct{}) bool {
 	for {
 		n.mu.Lock()
 		stalled, changed := n.stalled(from, to), n.changed
@@ -78,26 +91,26 @@
 	}
 }
 
-// dialer dials from one place.
-type dialer struct {
-	n    *network
-	from string
+// Dialer dials from one place.
+type Dialer struct {
+	Net  *Network
+	From string
 }
 
-// DialContext implements node.Dialer.
-func (d dialer) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
-	d.n.mu.Lock()
-	l := d.n.listeners[address]
-	d.n.mu.Unlock()
+// DialContext connects to an address.
+func (d Dialer) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
+	d.Net.mu.Lock()
+	l := d.Net.listeners[address]
+	d.Net.mu.Unlock()
 	to, _, _ := net.SplitHostPort(address)
-	if !d.n.await(d.from, to, ctx.Done()) {
+	if !d.Net.await(d.From, to, ctx.Done()) {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: ctx.Err()}
 	}
 	if l == nil || l.closed() {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 	}
 	near, far := net.Pipe()
-	a, b := d.n.wrap(near, d.from, to), d.n.wrap(far, to, d.from)
+	a, b := d.Net.wrap(near, d.From, to), d.Net.wrap(far, to, d.From)
 	select {
 	case l.accept <- b:
 		return a, nil
@@ -112,7 +125,7 @@
 	}
 }
 
-func (n *network) wrap(c net.Conn, from, to string) *conn {
+func (n *Network) wrap(c net.Conn, from, to string) *conn {
 	w := &conn{Conn: c, n: n, from: from, to: to, done: make(chan struct{})}
 	n.mu.Lock()
 	n.conns[w] = struct{}{}
@@ -123,7 +136,7 @@
 // conn stalls while its places are cut off from each other.
 type conn struct {
 	net.Conn
-	n        *network
+	n        *Network
 	from, to string
 	once     sync.Once
 	done     chan struct{}
@@ -163,23 +176,26 @@
 func (c *conn) RemoteAddr() net.Addr { return address(c.to + ":0") }
 func (c *conn) LocalAddr() net.Addr  { return address(c.from + ":0") }
 
-type listener struct {
-	n       *network
+// Listener accepts the connections to one address.
+type Listener struct {
+	n       *Network
 	address string
 	accept  chan net.Conn
 	once    sync.Once
 	done    chan struct{}
 }
 
-func (n *network) listen(addr string) *listener {
-	l := &listener{n: n, address: addr, accept: make(chan net.Conn), done: make(chan struct{})}
+// Listen opens a listener at an address.
+func (n *Network) Listen(addr string) *Listener {
+	l := &Listener{n: n, address: addr, accept: make(chan net.Conn), done: make(chan struct{})}
 	n.mu.Lock()
 	n.listeners[addr] = l
 	n.mu.Unlock()
 	return l
 }
 
-func (l *listener) Accept() (net.Conn, error) {
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
 	select {
 	case c := <-l.accept:
 		return c, nil
@@ -188,7 +204,7 @@
 	}
 }
 
-func (l *listener) closed() bool {
+func (l *Listener) closed() bool {
 	select {
 	case <-l.done:
 		return true
@@ -197,9 +213,19 @@
 	}
 }
 
-func (l *listener) Close() error {
+// Close implements net.Listener.
+func (l *Listener) Close() error {
 	l.once.Do(func() { close(l.done) })
 	return nil
 }
 
-func (l *listener) Addr() net.Addr { return address(l.address) }
+// Addr implements net.Listener.
+func (l *Listener) Addr() net.Addr { return address(l.address) }
+
+// Listening reports whether the newest listener at an address is open.
+func (n *Network) Listening(address string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := n.listeners[address]
+	return l != nil && !l.closed()
+}
--- a/daemon/entry/entry_test.go
+++ b/daemon/entry/entry_test.go
@@ -7,15 +7,17 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/pistachioarch/pistachioarch/wire/ownheaders"
 )
 
 func TestPlainAnswerIsPassedOnWhole(t *testing.T) {
 	x := newTarget(t, "t1", func(_ int, r received, id string) (string, bool) { return whole(id, "answer to "+r.Body), false })
 	s := newSystem(t, x)
-	got := s.post("/plain/a%2Fb?q=1", "body", "Id", "1", "Left-Ms", "900")
+	got := s.post("/plain/a%2Fb?q=1", "body", ownheaders.ID, "1", ownheaders.Left, "900")
 	require.Equal(t, http.StatusOK, got.status)
 	require.Equal(t, "answer to body", got.body)
-	require.Equal(t, "s", got.header.Get("Signature"))
+	require.Equal(t, "s", got.header.Get(ownheaders.Signature))
 	seen := x.requests()[0]
 	require.Equal(t, "/plain/a%2Fb?q=1", seen.URI)
 	require.Equal(t, "t1", seen.Target)
@@ -31,8 +33,8 @@
 		headers    []string
 	}{
 		"no id":    {http.StatusBadRequest, "/plain/", "", nil},
-		"no route": {http.StatusNotFound, "/other/", "", []string{"Id", "1"}},
-		"too long": {http.StatusRequestEntityTooLarge, "/plain/", strings.Repeat("x", 1001), []string{"Id", "1"}},
+		"no route": {http.StatusNotFound, "/other/", "", []string{ownheaders.ID, "1"}},
+		"too long": {http.StatusRequestEntityTooLarge, "/plain/", strings.Repeat("x", 1001), []string{ownheaders.ID, "1"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			require.Equal(t, c.status, s.post(c.path, c.body, c.headers...).status)
@@ -45,7 +47,7 @@
 	refusing := func(_ int, _ received, id string) (string, bool) { return refused(id), false }
 	a, b := newTarget(t, "t1", refusing), newTarget(t, "t2", refusing)
 	s := newSystem(t, a, b)
-	got := s.post("/once/", "", "Id", "1")
+	got := s.post("/once/", "", ownheaders.ID, "1")
 	require.Equal(t, http.StatusServiceUnavailable, got.status)
 	require.NotEmpty(t, got.header.Get("Retry-After"))
 	require.Len(t, a.requests(), 1)
@@ -67,7 +69,7 @@
 				return whole(id, "ok"), false
 			}
 			s := newSystem(t, newTarget(t, "t1", breaking), newTarget(t, "t2", breaking))
-			require.Equal(t, want.status, s.post(path, "x", "Id", "1").status)
+			require.Equal(t, want.status, s.post(path, "x", ownheaders.ID, "1").status)
 			require.Len(t, sends, want.sends)
 		})
 	}
@@ -80,7 +82,7 @@
 	s := newSystem(t, x)
 	got := s.turn("/turn/", "1", "", "x")
 	require.Equal(t, http.StatusBadGateway, got.status)
-	require.Empty(t, got.header.Get("Signature"))
+	require.Empty(t, got.header.Get(ownheaders.Signature))
 	require.Empty(t, got.header.Get("Transfer-Encoding"))
 	require.NotEqual(t, "text/event-stream", got.header.Get("Content-Type"))
 }
@@ -120,7 +122,7 @@
 	require.Equal(t, "in1;out-1\nin2;", seen[1].Body)
 	require.Equal(t, "in1;out-1\nin3;", seen[2].Body, "two turns may continue from the same one")
 	// Another program goes on from there, and keeps the chain itself.
-	got := s.post("/turn/", "in4;", "Id", "4", "Program", "other", "Previous", "2", "Budget", "100", "Max-Tokens", "12")
+	got := s.post("/turn/", "in4;", ownheaders.ID, "4", ownheaders.Program, "other", ownheaders.Previous, "2", ownheaders.Budget, "100", ownheaders.MaxTokens, "12")
 	require.Equal(t, http.StatusOK, got.status)
 	require.Equal(t, "in1;out-1\nin2;out-2\nin4;", x.requests()[3].Body)
 }
@@ -145,7 +147,7 @@
 	s := newSystem(t, x)
 	sent := 0
 	for _, id := range []string{"1", "2", "3"} {
-		got := s.post("/quick/", "x", "Id", id, "Program", "p", "Budget", "24", "Max-Tokens", "12")
+		got := s.post("/quick/", "x", ownheaders.ID, id, ownheaders.Program, "p", ownheaders.Budget, "24", ownheaders.MaxTokens, "12")
 		if got.status == http.StatusOK {
 			sent++
 			continue
@@ -161,5 +163,5 @@
 	t.Cleanup(func() { close(hold) })
 	x := newTarget(t, "t1", func(int, received, string) (string, bool) { <-hold; return "", true })
 	s := newSystem(t, x)
-	require.Equal(t, http.StatusGatewayTimeout, s.post("/short/", "", "Id", "1").status)
+	require.Equal(t, http.StatusGatewayTimeout, s.post("/short/", "", ownheaders.ID, "1").status)
 }
--- a/daemon/entry/harness_test.go
+++ b/daemon/entry/harness_test.go
@@ -18,31 +18,16 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pistachioarch/pistachioarch/core/balance"
-	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/core/historypb"
 	"github.com/pistachioarch/pistachioarch/core/placement"
-	"github.com/pistachioarch/pistachioarch/core/request"
 	"github.com/pistachioarch/pistachioarch/core/routing"
 	"github.com/pistachioarch/pistachioarch/daemon/history"
 	"github.com/pistachioarch/pistachioarch/daemon/quorum"
 	"github.com/pistachioarch/pistachioarch/wire/objects"
+	"github.com/pistachioarch/pistachioarch/wire/ownheaders"
 	"github.com/pistachioarch/pistachioarch/wire/rpc"
 )
 
-// plainHeaders is a Headers with names of its own.
-type plainHeaders struct{}
-
-func (plainHeaders) Call(h http.Header) (request.Call, error) {
-	c := request.Call{
-		ID: h.Get("Id"), Program: h.Get("Program"), Previous: h.Get("Previous"), LastEvent: h.Get("Last-Event-Id"),
-		Left: time.Duration(number(h.Get("Left-Ms"))) * time.Millisecond, Budget: number(h.Get("Budget")), MaxTokens: number(h.Get("Max-Tokens")),
-	}
-	if c.ID == "" {
-		return c, failure.New(failure.BadRequest, "no id")
-	}
-	return c, nil
-}
-
 func number(v string) int64 {
 	n, err := strconv.ParseInt(v, 10, 64)
 	if err != nil {
@@ -51,23 +36,6 @@
 	return n
 }
 
-func (plainHeaders) Outgoing(in http.Header, s request.Send) http.Header {
-	out := in.Clone()
-	out.Set("Target", s.Target)
-	out.Set("Left-Ms", strconv.FormatInt(s.Left.Milliseconds(), 10))
-	if s.LastEvent != "" {
-		out.Set("Last-Event-Id", s.LastEvent)
-	}
-	return out
-}
-
-func (plainHeaders) Answer(status int, h http.Header) request.Answer {
-	return request.Answer{ID: h.Get("Id"), Signed: h.Get("Signature") != "", NotRun: h.Get("Not-Run") != ""}
-}
-
-func (plainHeaders) RetryAfter(h http.Header, d time.Duration) { h.Set("Retry-After", d.String()) }
-func (plainHeaders) Echo(h http.Header, id string)             { h.Set("Id", id) }
-
 // received is a request as a target saw it.
 type received struct {
 	Target, Method, URI, Body, LastEvent, LeftMs string
@@ -115,14 +83,14 @@
 			return
 		}
 		r := received{
-			Target: req.Header.Get("Target"), Method: req.Method, URI: req.RequestURI, Body: string(body),
-			LastEvent: req.Header.Get("Last-Event-Id"), LeftMs: req.Header.Get("Left-Ms"),
+			Target: req.Header.Get(ownheaders.Target), Method: req.Method, URI: req.RequestURI, Body: string(body),
+			LastEvent: req.Header.Get("Last-Event-Id"), LeftMs: req.Header.Get(ownheaders.Left),
 		}
 		x.mu.Lock()
 		n := len(x.seen)
 		x.seen = append(x.seen, r)
 		x.mu.Unlock()
-		raw, closes := answer(n, r, req.Header.Get("Id"))
+		raw, closes := answer(n, r, req.Header.Get(ownheaders.ID))
 		if _, err := io.WriteString(c, raw); err != nil || closes {
 			return
 		}
@@ -136,11 +104,11 @@
 }
 
 func whole(id, body string) string {
-	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nSignature: s\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+	return "HTTP/1.1 200 OK\r\n" + ownheaders.ID + ": " + id + "\r\n" + ownheaders.Signature + ": s\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
 }
 
 func refused(id string) string {
-	return "HTTP/1.1 503 Busy\r\nId: " + id + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	return "HTTP/1.1 503 Busy\r\n" + ownheaders.ID + ": " + id + "\r\n" + ownheaders.NotRun + ": 1\r\nContent-Length: 0\r\n\r\n"
 }
 
 // streamed is a chunked stream of events with ids from first; cut ends it early.
@@ -149,7 +117,7 @@
 }
 
 func streamHead(id string) string {
-	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nSignature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	return "HTTP/1.1 200 OK\r\n" + ownheaders.ID + ": " + id + "\r\n" + ownheaders.Signature + ": s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 }
 
 func chunks(first int, data ...string) string {
@@ -189,7 +157,7 @@
 func newSystem(t *testing.T, targets ...*target) *system {
 	s := &system{t: t, past: quorum.New(&net.Dialer{}, "dc1", quietLog())}
 	s.startHistory(3)
-	s.host = New(Options{Headers: plainHeaders{}, History: s.past, Dialer: &net.Dialer{}, DataCentre: "dc1", ReadyPath: "/ready", Log: quietLog()})
+	s.host = New(Options{Headers: ownheaders.Headers{}, History: s.past, Dialer: &net.Dialer{}, DataCentre: "dc1", ReadyPath: "/ready", Log: quietLog()})
 	engine := &routing.Engine{Places: 4, TokensPerEvent: 3}
 	route := func(prefix string, r routing.Route) *routing.Route {
 		r.Host, r.Prefix, r.Services = "example", prefix, []routing.Share{{Service: "s", Weight: 1}}
@@ -260,5 +228,5 @@
 }
 
 func (s *system) turn(path, id, previous, input string) answer {
-	return s.post(path, input, "Id", id, "Program", "p", "Previous", previous, "Budget", "100", "Max-Tokens", "12")
+	return s.post(path, input, ownheaders.ID, id, ownheaders.Program, "p", ownheaders.Previous, previous, ownheaders.Budget, "100", ownheaders.MaxTokens, "12")
 }
--- a/daemon/entry/host.go
+++ b/daemon/entry/host.go
@@ -137,8 +137,13 @@
 	}()
 }
 
-// Run keeps the connections to targets tidy until the context ends.
-func (h *Host) Run(ctx context.Context) { h.pool.Reap(ctx) }
+// Run keeps the connections to targets tidy until the context ends, and closes
+// them then.
+func (h *Host) Run(ctx context.Context) {
+	h.pool.Reap(ctx)
+	close(h.reach.done)
+	h.pool.Close()
+}
 
 const (
 	// leaveAfter is how long a stopping host goes on as before, not ready: the
--- a/daemon/entry/reach.go
+++ b/daemon/entry/reach.go
@@ -26,6 +26,8 @@
 	host *Host
 	mu   sync.Mutex
 	by   map[string]*line // by target
+	// done is closed when the host stops.
+	done chan struct{}
 }
 
 // line is the way to one target.
@@ -38,7 +40,9 @@
 	cut    chan struct{}
 }
 
-func newReach(h *Host) *reach { return &reach{host: h, by: map[string]*line{}} }
+func newReach(h *Host) *reach {
+	return &reach{host: h, by: map[string]*line{}, done: make(chan struct{})}
+}
 
 // of returns the line to a target; the caller holds mu.
 func (r *reach) of(target string) *line {
@@ -134,7 +138,11 @@
 			r.forget(target)
 			return
 		}
-		time.Sleep(probePause)
+		select {
+		case <-time.After(probePause):
+		case <-r.done:
+			return
+		}
 	}
 }
 
--- /dev/null
+++ b/wire/ownheaders/ownheaders.go
@@ -0,0 +1,85 @@
+// Package ownheaders is pistachioarch's own set of HTTP headers for programs'
+// requests, used where no platform brings another: with the stand-ins, and in
+// tests. Times are in milliseconds.
+package ownheaders
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/core/request"
+)
+
+// The names.
+const (
+	ID         = "Pistachio-Request"
+	Program    = "Pistachio-Program"
+	Previous   = "Pistachio-Previous-Turn"
+	Budget     = "Pistachio-Budget"
+	MaxTokens  = "Pistachio-Max-Tokens"
+	Prompt     = "Pistachio-Prompt-Tokens"
+	Left       = "Pistachio-Left"
+	LastEvent  = "Last-Event-Id"
+	Target     = "Pistachio-Target"
+	NotRun     = "Pistachio-Not-Run"
+	Signature  = "Pistachio-Signature"
+	RetryAfter = "Retry-After"
+)
+
+// Headers translates between the names and the terms of core/request.
+type Headers struct{}
+
+// Call decodes a caller's request. The failure is of kind BadRequest.
+func (Headers) Call(h http.Header) (request.Call, error) {
+	c := request.Call{ID: h.Get(ID), Program: h.Get(Program), Previous: h.Get(Previous), LastEvent: h.Get(LastEvent)}
+	if c.ID == "" {
+		return c, failure.New(failure.BadRequest, "no %s", ID)
+	}
+	left := int64(0)
+	for name, to := range map[string]*int64{Left: &left, Budget: &c.Budget, MaxTokens: &c.MaxTokens, Prompt: &c.PromptTokens} {
+		v := h.Get(name)
+		if v == "" {
+			continue
+		}
+		n, err := strconv.ParseInt(v, 10, 64)
+		if err != nil || n < 0 {
+			return c, failure.New(failure.BadRequest, "%s is %q", name, v)
+		}
+		*to = n
+	}
+	c.Left = time.Duration(left) * time.Millisecond
+	return c, nil
+}
+
+// Outgoing returns the headers of a request to a target.
+func (Headers) Outgoing(in http.Header, s request.Send) http.Header {
+	out := in.Clone()
+	out.Set(Target, s.Target)
+	out.Set(Left, strconv.FormatInt(s.Left.Milliseconds(), 10))
+	if s.LastEvent != "" {
+		out.Set(LastEvent, s.LastEvent)
+	}
+	return out
+}
+
+// Answer decodes the head of a target's answer.
+func (Headers) Answer(status int, h http.Header) request.Answer {
+	return request.Answer{
+		ID: h.Get(ID), Signed: h.Get(Signature) != "", NotRun: h.Get(NotRun) != "",
+		Moved: status == http.StatusMisdirectedRequest,
+	}
+}
+
+// RetryAfter tells a caller when to come back, in seconds with fractions.
+func (Headers) RetryAfter(h http.Header, d time.Duration) {
+	h.Set(RetryAfter, strconv.FormatFloat(d.Seconds(), 'f', 3, 64))
+}
+
+// Echo names the request in an answer of the system's own.
+func (Headers) Echo(h http.Header, id string) {
+	if id != "" {
+		h.Set(ID, id)
+	}
+}
--- a/wire/rpc/client.go
+++ b/wire/rpc/client.go
@@ -121,7 +121,9 @@
 	session *yamux.Session
 	stream  net.Conn
 
-	writeMu sync.Mutex
+	// writing is held by the one call that writes; waiting for it ends with the
+	// call's context.
+	writing chan struct{}
 
 	mu      sync.Mutex
 	nextID  uint64
@@ -146,7 +148,7 @@
 		_ = session.Close()
 		return nil, failure.Wrap(err, failure.PeerUnavailable, "stream to %s", address)
 	}
-	l := &link{session: session, stream: stream, pending: map[uint64]chan *historypb.Reply{}, heard: time.Now(), done: make(chan struct{})}
+	l := &link{session: session, stream: stream, pending: map[uint64]chan *historypb.Reply{}, heard: time.Now(), writing: make(chan struct{}, 1), done: make(chan struct{})}
 	go l.read()
 	return l, nil
 }
@@ -199,8 +201,7 @@
 	req.Id = l.nextID
 	l.pending[req.Id] = answer
 	l.mu.Unlock()
-	if err := l.write(req); err != nil {
-		l.close(err)
+	if err := l.write(ctx, req); err != nil {
 		return nil, err
 	}
 	silence := time.NewTimer(silenceLimit)
@@ -240,9 +241,24 @@
 	delete(l.pending, id)
 }
 
-func (l *link) write(req *historypb.Request) error {
-	l.writeMu.Lock()
-	defer l.writeMu.Unlock()
+func (l *link) write(ctx context.Context, req *historypb.Request) error {
+	select {
+	case l.writing <- struct{}{}:
+		defer func() { <-l.writing }()
+	case <-l.done:
+		return l.err
+	case <-ctx.Done():
+		l.forget(req.Id)
+		return failure.Wrap(ctx.Err(), failure.PeerUnavailable, "wait to write")
+	}
+	err := l.writeFrame(req)
+	if err != nil {
+		l.close(err)
+	}
+	return err
+}
+
+func (l *link) writeFrame(req *historypb.Request) error {
 	if err := l.stream.SetWriteDeadline(time.Now().Add(silenceLimit)); err != nil {
 		return failure.Wrap(err, failure.PeerUnavailable, "write deadline")
 	}
--- a/wire/rpc/server.go
+++ b/wire/rpc/server.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -60,9 +59,16 @@
 	}
 }
 
+// maxReplies bounds the replies that wait for a peer that does not read: a peer
+// has fewer calls under way than that, unless it is cut off.
+const maxReplies = 4096
+
 func serveStream(stream net.Conn, handle Handler) {
 	defer stream.Close()
-	var mu sync.Mutex
+	replies := make(chan *historypb.Reply, maxReplies)
+	done := make(chan struct{})
+	defer close(done)
+	go writeReplies(stream, replies, done)
 	in := bufio.NewReader(stream)
 	for {
 		req := &historypb.Request{}
@@ -72,10 +78,28 @@
 		id := req.Id
 		handle(req, func(reply *historypb.Reply) {
 			reply.Id = id
-			mu.Lock()
-			defer mu.Unlock()
-			// A peer that is gone learns nothing; it asks again elsewhere.
-			_ = frame.Write(stream, reply)
+			select {
+			case replies <- reply:
+			default:
+				// The peer is cut off; it finds out and asks again elsewhere. Waiting
+				// here would hold up the journal, and with it every other peer.
+				_ = stream.Close()
+			}
 		})
 	}
 }
+
+// writeReplies is the one writer of a stream.
+func writeReplies(stream net.Conn, replies <-chan *historypb.Reply, done <-chan struct{}) {
+	for {
+		select {
+		case <-done:
+			return
+		case reply := <-replies:
+			if err := frame.Write(stream, reply); err != nil {
+				_ = stream.Close()
+				return
+			}
+		}
+	}
+}
--- a/wire/targetpool/pool.go
+++ b/wire/targetpool/pool.go
@@ -137,6 +137,18 @@
 	}
 }
 
+// Close closes the idle connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, list := range p.idle {
+		for _, c := range list {
+			_ = c.Close()
+		}
+	}
+	clear(p.idle)
+}
+
 func (p *Pool) reap() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
