--- a/ctl/roles/always_test.go
+++ b/ctl/roles/always_test.go
@@ -23,6 +23,7 @@
 const (
 	programs = 12
 	turns    = 8
+	loops    = 3
 	// leaveWithin is how long a leaving target may still get requests.
 	leaveWithin = 2 * time.Second
 	// inForceWithin is how long a configuration may take to be in force.
@@ -70,11 +71,16 @@
 	k := newCaller(c)
 	defer k.client.CloseIdleConnections()
 	var work sync.WaitGroup
+	over := make(chan struct{})
 	for n := range programs {
-		work.Go(func() { k.program(n, turns) })
+		work.Go(func() { k.program(n, turns, over) })
 	}
 	time.Sleep(500 * time.Millisecond)
+	for n := range loops {
+		work.Go(func() { k.loop(n) })
+	}
 	fc.inject(c)
+	close(over)
 	work.Wait()
 	o := &outcome{runs: map[string][]standin.Run{}}
 	// After the fault, a target leaves and a configuration changes.
@@ -82,7 +88,7 @@
 	left := time.Now()
 	version := c.configure(8 * time.Second)
 	for n := range programs / 2 {
-		work.Go(func() { k.program(100+n, 3) })
+		work.Go(func() { k.program(100+n, 3, over) })
 	}
 	time.Sleep(inForceWithin)
 	for i := range c.entries {
@@ -127,7 +133,7 @@
 func TestEveryProgramEnds(t *testing.T) {
 	each(t, func(t *testing.T, _ faultCase, o *outcome) {
 		assert.Empty(t, o.failures)
-		assert.Equal(t, programs+programs/2, o.finished)
+		assert.Equal(t, programs+programs/2+loops, o.finished)
 	})
 }
 
@@ -190,7 +196,11 @@
 			handed[x.Program] += eventTokens * strings.Count(x.Answer, "data: ")
 		}
 		for program, tokens := range handed {
-			require.LessOrEqual(t, tokens, budget+maxTokens, program)
+			limit := budget
+			if strings.HasPrefix(program, "loop") {
+				limit = loopBudget
+			}
+			require.LessOrEqual(t, tokens, limit+maxTokens, program)
 		}
 	})
 }
--- a/ctl/roles/callers_test.go
+++ b/ctl/roles/callers_test.go
@@ -22,6 +22,10 @@
 	turnPatience = 5 * time.Second
 	// tries is how often a caller sends a turn in all.
 	tries = 60
+	// turnPause is the time of a program's own between turns.
+	turnPause = 200 * time.Millisecond
+	// loopWidth is how many turns a program that never ends runs at once.
+	loopWidth = 5
 )
 
 // try is one attempt of a caller and what it got.
@@ -95,22 +99,23 @@
 	return t
 }
 
-// program runs turns with a tool call after each, then two turns in parallel from
-// the last one, as sub-agents do. It tries on until each turn was answered.
-func (k *caller) program(n, turns int) {
+// program runs turns with a tool call after each, at least the number given and
+// until the channel is closed; then two turns in parallel from the last one, as
+// sub-agents do. It tries on until each turn was answered.
+func (k *caller) program(n, turns int, until <-chan struct{}) {
 	name := fmt.Sprintf("p%d", n)
 	previous := ""
-	for i := range turns {
-		previous = k.turn(name, n+i, previous, fmt.Sprintf("%s-in%d;", name, i))
+	for i := 0; i < turns || !closed(until); i++ {
+		previous = k.turn(name, n+i, previous, fmt.Sprintf("%s-in%d;", name, i), budget)
 		if previous == "" {
 			return
 		}
 		k.send(name, "/order/", "order", n+i, nil)
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(turnPause)
 	}
 	var fork sync.WaitGroup
 	for i := range 2 {
-		fork.Go(func() { k.turn(name, n+i, previous, fmt.Sprintf("%s-fork%d;", name, i)) })
+		fork.Go(func() { k.turn(name, n+i, previous, fmt.Sprintf("%s-fork%d;", name, i), budget) })
 	}
 	fork.Wait()
 	k.mu.Lock()
@@ -118,8 +123,38 @@
 	k.finished++
 }
 
-// turn sends a turn until it is answered whole, and returns its id.
-func (k *caller) turn(program string, at int, previous, input string) string {
+func closed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// loop starts turns in parallel, through different hosts, until the budget is
+// spent.
+func (k *caller) loop(n int) {
+	name := fmt.Sprintf("loop%d", n)
+	for range tries {
+		var fork sync.WaitGroup
+		spent := make(chan bool, loopWidth)
+		for i := range loopWidth {
+			fork.Go(func() { spent <- k.turn(name, n+i, "", fmt.Sprintf("%s-in0;", name), loopBudget) == "" })
+		}
+		fork.Wait()
+		if <-spent && <-spent {
+			break
+		}
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.finished++
+}
+
+// turn sends a turn until it is answered whole, and returns its id, or nothing
+// once the budget is spent.
+func (k *caller) turn(program string, at int, previous, input string, budget int) string {
 	for i := range tries {
 		t := k.send(program, "/turn/", input, at+i, map[string]string{
 			ownheaders.Previous: previous, ownheaders.Budget: strconv.Itoa(budget), ownheaders.MaxTokens: strconv.Itoa(maxTokens),
--- a/ctl/roles/cluster_test.go
+++ b/ctl/roles/cluster_test.go
@@ -33,8 +33,10 @@
 	plainService           = "orders"
 	watchFor               = 2 * time.Second
 	grace                  = 8 * time.Second
-	// budget lets a program of the tests end with room to spare.
-	budget, maxTokens, eventTokens = 400, 30, 3
+	// budget lets a program of the tests end with room to spare; loopBudget stops one
+	// that never ends, after a few turns.
+	budget, loopBudget     = 20_000, 200
+	maxTokens, eventTokens = 30, 3
 )
 
 // logTo is where the hosts' logs go; a test being debugged changes it.
@@ -66,7 +68,7 @@
 	engines []*standin.TurnEngine
 	plain   []*standin.TurnEngine
 	serving map[string]*http.Server // targets by id
-	mu      sync.Mutex // guards entries, which callers read while faults happen
+	mu      sync.Mutex              // guards entries, which callers read while faults happen
 	entries []*entryHost
 	history []*historyHost
 	retire  *retirements
