--- a/ctl/roles/always_test.go
+++ b/ctl/roles/always_test.go
@@ -87,8 +87,9 @@
 	c.list(c.engines[2].ID, engineService, "10.3.7.2", 2, true)
 	left := time.Now()
 	version := c.configure(8 * time.Second)
+	later := make(chan struct{})
 	for n := range programs / 2 {
-		work.Go(func() { k.program(100+n, 3, over) })
+		work.Go(func() { k.program(100+n, 3, later) })
 	}
 	time.Sleep(inForceWithin)
 	for i := range c.entries {
@@ -96,6 +97,8 @@
 			o.behind = append(o.behind, fmt.Sprintf("%s: %d", c.entries[i].name, got.Status))
 		}
 	}
+	time.Sleep(leaveWithin)
+	close(later)
 	work.Wait()
 	for _, e := range append(append([]*standin.TurnEngine(nil), c.engines...), c.plain...) {
 		for _, r := range e.Runs() {
--- a/ctl/roles/faults_test.go
+++ b/ctl/roles/faults_test.go
@@ -111,6 +111,29 @@
 		wait(4 * time.Second)
 		c.net.Heal()
 	}},
+	{name: "a link to one history host only, and then its disk is lost", inject: func(c *cluster) {
+		for _, e := range c.entries {
+			for _, h := range c.history[1:] {
+				c.net.Cut(e.place, h.place, true)
+			}
+		}
+		wait(3 * time.Second)
+		h := c.killHistory(0)
+		h.dir = c.t.TempDir()
+		c.net.Heal()
+		c.restartHistory(h)
+		wait(3 * time.Second)
+	}},
+	{name: "a history host that missed writes is one of two that answer", inject: func(c *cluster) {
+		for _, e := range c.entries {
+			c.net.Cut(e.place, "10.2.0.0", true)
+		}
+		wait(2 * time.Second)
+		c.net.Heal()
+		h := c.killHistory(1)
+		wait(2 * time.Second)
+		c.restartHistory(h)
+	}},
 	{name: "the platform down", inject: func(c *cluster) {
 		c.store.SetDown(true)
 		wait(6 * time.Second)
--- /dev/null
+++ b/daemon/quorum/read_test.go
@@ -0,0 +1,46 @@
+package quorum
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachioarch/pistachioarch/core/historypb"
+	"github.com/pistachioarch/pistachioarch/core/placement"
+)
+
+func mapOf(hosts int) *placement.Map {
+	m := placement.New(1)
+	for i := range hosts {
+		id := fmt.Sprintf("m%d", i)
+		m.Admit(placement.Member{ID: id, Host: id, Address: id, DataCentre: id})
+	}
+	m.Assign()
+	return m
+}
+
+func TestCoversNeedsAReadQuorumOfEverySlot(t *testing.T) {
+	m := mapOf(4)
+	require.True(t, covers(m, map[string]bool{"m0": true, "m1": true, "m2": true, "m3": true}))
+	require.True(t, covers(m, map[string]bool{"m0": true, "m1": true, "m2": true}))
+	require.False(t, covers(m, map[string]bool{"m0": true, "m1": true}), "some slot has one of these only")
+	for i := range m.Slots {
+		for j := range m.Slots[i].Replicas {
+			r := &m.Slots[i].Replicas[j]
+			r.Joining = r.Member == "m0"
+		}
+	}
+	require.False(t, covers(m, map[string]bool{"m0": true, "m1": true, "m2": true}), "a joining replica does not count")
+}
+
+func TestChainIsLinkedFromWhatSeveralReplicasSent(t *testing.T) {
+	turns := map[string]*historypb.Turn{}
+	collect(turns, []*historypb.Turn{{Turn: "c", Previous: "b"}})
+	p := &Past{}
+	require.Equal(t, "b", p.link("c", turns))
+	collect(turns, []*historypb.Turn{{Turn: "b", Previous: "a"}, {Turn: "a"}})
+	require.Empty(t, p.link("c", turns))
+	require.Len(t, p.Chain, 3)
+	require.Equal(t, "a", p.Chain[2].Turn)
+}
