--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # The targets of the README; everything needs only Go and make.
 GO ?= go
-MODULES := core wire daemon ctl
+MODULES := core wire platform daemon ctl
 
 .PHONY: all build demo test bench replay soak capacity fuzz generate
 all: build
@@ -17,7 +17,7 @@
 
 # Needs protoc and protoc-gen-go; the generated code is committed.
 generate:
-	cd core && protoc --go_out=. --go_opt=paths=source_relative peerpb/peer.proto
+	cd core && protoc --go_out=. --go_opt=paths=source_relative peerpb/peer.proto historypb/history.proto
 
 # All traces under all policies: a table, and a plot for each trace in build/.
 replay: build
@@ -42,3 +42,7 @@
 	cd core && $(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime 20s ./journal
 	cd wire && $(GO) test -run '^$$' -fuzz FuzzRead -fuzztime 20s ./frame
 	cd daemon && $(GO) test -run '^$$' -fuzz FuzzParse -fuzztime 20s ./settings
+	cd daemon && $(GO) test -run '^$$' -fuzz FuzzReplay -fuzztime 20s ./wal
+	cd daemon && $(GO) test -run '^$$' -fuzz FuzzEvents -fuzztime 20s ./entry
+	cd platform && $(GO) test -run '^$$' -fuzz FuzzCall -fuzztime 20s .
+	cd platform && $(GO) test -run '^$$' -fuzz FuzzTable -fuzztime 20s .
--- /dev/null
+++ b/core/balance/balance_test.go
@@ -0,0 +1,120 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachioarch/pistachioarch/core/request"
+)
+
+func registryOf(n int) *Registry {
+	r := NewRegistry("dc0")
+	for i := range n {
+		r.Set(Listed{ID: fmt.Sprintf("t%d", i), Service: "s", DataCentre: fmt.Sprintf("dc%d", i), Places: 10})
+	}
+	return r
+}
+
+func pick(t *testing.T, r *Registry, q Query) string {
+	t.Helper()
+	q.Service = "s"
+	c, ok := r.Pick(q, time.Second)
+	require.True(t, ok)
+	return c.ID
+}
+
+func prompt(parts ...string) Query {
+	q := Query{}
+	for _, p := range parts {
+		q.Parts = append(q.Parts, request.Part{ID: p, Tokens: 1000})
+		q.PromptTokens += 1000
+	}
+	return q
+}
+
+func target(t *testing.T, r *Registry, id string) *Target {
+	t.Helper()
+	x, ok := r.Target(id)
+	require.True(t, ok)
+	return x
+}
+
+func TestPickAvoidsWhatCannotServe(t *testing.T) {
+	r := registryOf(4)
+	require.Equal(t, "t0", pick(t, r, Query{}), "the own data centre where all are idle")
+	r.Set(Listed{ID: "t0", Service: "s", DataCentre: "dc0", Places: 10, Draining: true})
+	target(t, r, "t1").Unreachable = true
+	require.Contains(t, []string{"t2", "t3"}, pick(t, r, Query{}))
+	require.Equal(t, "t3", pick(t, r, Query{Exclude: map[string]bool{"t2": true}}))
+	r.Keep(map[string]bool{"t0": true})
+	_, ok := r.Pick(Query{Service: "s"}, 0)
+	require.False(t, ok)
+	require.Equal(t, 1, r.Size())
+}
+
+func TestPickTakesTheLeastLoaded(t *testing.T) {
+	r := registryOf(3)
+	target(t, r, "t0").Heard(request.Load{Running: 6, Places: 10}, 0)
+	target(t, r, "t1").Heard(request.Load{Running: 3, Waiting: 1, Places: 10}, 0)
+	require.Equal(t, "t2", pick(t, r, Query{}))
+	for range 8 {
+		target(t, r, "t2").Sent(nil, 0)
+	}
+	require.Equal(t, "t1", pick(t, r, Query{}))
+}
+
+func TestPickFollowsThePrefixUnlessItsTargetIsFull(t *testing.T) {
+	r := registryOf(3)
+	q := prompt("shared", "session")
+	target(t, r, "t1").Sent(q.Parts, 0)
+	target(t, r, "t1").Done(Served, 0)
+	require.Equal(t, "t1", pick(t, r, q))
+	target(t, r, "t1").Heard(request.Load{Running: 10, Places: 10}, 0)
+	require.NotEqual(t, "t1", pick(t, r, q))
+}
+
+func TestHostsAgreeOnTheHomesOfASharedPart(t *testing.T) {
+	a, b := registryOf(12), registryOf(12)
+	for i := range 20 {
+		q := prompt(fmt.Sprintf("shared%d", i), "session")
+		homes := a.homes("s", q.Parts[0].ID)
+		require.Equal(t, homes, b.homes("s", q.Parts[0].ID))
+		require.Len(t, homes, 3)
+		require.True(t, homes[pick(t, a, q)])
+	}
+	// Homes move only where a home is gone.
+	before := a.homes("s", "p")
+	for i := range 12 {
+		id := fmt.Sprintf("t%d", i)
+		if !before[id] {
+			a.Remove(id)
+			require.Equal(t, before, a.homes("s", "p"))
+			return
+		}
+	}
+}
+
+func TestFailingTargetIsLeftAloneForAWhile(t *testing.T) {
+	r := registryOf(2)
+	for range 3 {
+		target(t, r, "t0").Sent(nil, 0)
+		target(t, r, "t0").Done(Failed, time.Second)
+	}
+	require.Equal(t, "t1", pick(t, r, Query{}))
+	c, ok := r.Pick(Query{Service: "s"}, time.Second+breakerBase)
+	require.True(t, ok)
+	require.Equal(t, "t0", c.ID)
+}
+
+func TestCacheForgetsTheLeastRecentlyUsed(t *testing.T) {
+	c := newPrefixCache()
+	for i := range cacheEntries + 10 {
+		c.add([]request.Part{{ID: fmt.Sprint(i), Tokens: 1}}, time.Duration(i))
+	}
+	require.LessOrEqual(t, len(c.used), cacheEntries)
+	require.Zero(t, c.covered([]request.Part{{ID: "0", Tokens: 1}}))
+	require.EqualValues(t, 1, c.covered([]request.Part{{ID: fmt.Sprint(cacheEntries + 9), Tokens: 1}}))
+}
--- /dev/null
+++ b/daemon/entry/events_test.go
@@ -0,0 +1,59 @@
+package entry
+
+import (
+	"bytes"
+	"io"
+	"testing"
+	"testing/iotest"
+
+	"github.com/stretchr/testify/require"
+)
+
+func readEvents(from io.Reader) (list []event, err error) {
+	r := &eventReader{from: from}
+	for {
+		e, err := r.next()
+		if err != nil {
+			return list, err
+		}
+		list = append(list, e)
+	}
+}
+
+func TestEventsAreSplitHoweverTheyArrive(t *testing.T) {
+	text := "id: 1\ndata: a\n\nx-weights: 4\nid: 2\ndata: b\ndata:c\n\n"
+	for name, from := range map[string]io.Reader{
+		"at once":     bytes.NewBufferString(text),
+		"by the byte": iotest.OneByteReader(bytes.NewBufferString(text)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			list, err := readEvents(from)
+			require.Equal(t, io.EOF, err)
+			require.Len(t, list, 2)
+			require.Equal(t, "1", list[0].id)
+			require.Equal(t, "a", string(list[0].data))
+			require.Equal(t, "b\nc", string(list[1].data))
+			require.Equal(t, text, string(list[0].raw)+string(list[1].raw))
+		})
+	}
+}
+
+func TestStreamThatEndsInsideAnEventIsCut(t *testing.T) {
+	for _, tail := range []string{"id: 2", "id: 2\n", "id: 2\ndata: b\n"} {
+		list, err := readEvents(bytes.NewBufferString("id: 1\ndata: a\n\n" + tail))
+		require.Len(t, list, 1)
+		require.Equal(t, io.ErrUnexpectedEOF, err)
+	}
+}
+
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		list, _ := readEvents(bytes.NewReader(text))
+		var all []byte
+		for _, e := range list {
+			all = append(all, e.raw...)
+		}
+		require.True(t, bytes.HasPrefix(text, all), "what is passed on is what came")
+	})
+}
