entry: callers' limits come from the configuration in force

Cause: header and idle limits were constants; a configuration that lengthens the idle time would have been answered by closed connections. Idle time follows the newest configuration, header limits the first; without one, requests get 503.

--- a/ctl/roles/cluster_test.go
+++ b/ctl/roles/cluster_test.go
@@ -55,7 +55,6 @@
 type entryHost struct {
 	name, place string
 	host        *entry.Host
-	server      *http.Server
 	past        *quorum.Client
 	stop        context.CancelFunc
 }
@@ -240,7 +239,7 @@
 	go objects.Follow(ctx, store, history.Kind, history.MapWatch, e.past)
 	go e.host.Run(ctx)
 	go e.past.Run(ctx)
-	e.server = e.host.Serve(c.net.Listen(e.place + ":80"))
+	e.host.Serve(c.net.Listen(e.place + ":80"))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i, old := range c.entries {
@@ -263,7 +262,7 @@
 func (c *cluster) killEntry(i int) *entryHost {
 	e := c.entryAt(i)
 	c.net.Crash(e.place)
-	_ = e.server.Close()
+	e.host.Close()
 	e.stop()
 	c.net.Crash(e.place)
 	return e
@@ -272,7 +271,7 @@
 // rollEntry stops an entry host in good order and starts it again.
 func (c *cluster) rollEntry(i int) {
 	e := c.entryAt(i)
-	e.host.Drain(e.server, grace)
+	e.host.Drain(grace)
 	c.killEntry(i)
 	c.startEntry(&entryHost{name: e.name, place: e.place})
 }
--- a/daemon/cmd/pistachiod/entry.go
+++ b/daemon/cmd/pistachiod/entry.go
@@ -36,9 +36,9 @@
 	go objects.Follow(follow, store, history.Kind, history.MapWatch, past)
 	go host.Run(follow)
 	go past.Run(follow)
-	server := host.Serve(callers)
+	host.Serve(callers)
 	host.ServeReady(ready)
 	<-ctx.Done()
-	host.Drain(server, set.Grace)
+	host.Drain(set.Grace)
 	return nil
 }
--- a/daemon/entry/handle.go
+++ b/daemon/entry/handle.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -121,10 +122,7 @@
 }
 
 func (x *exchange) readBody() error {
-	limit := x.table.Limits.BodyBytes
-	if limit <= 0 {
-		limit = 1 << 20
-	}
+	limit := cmp.Or(x.table.Limits.BodyBytes, defaultBodyBytes)
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
--- a/daemon/entry/host.go
+++ b/daemon/entry/host.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -48,9 +49,12 @@
 type Host struct {
 	Options
 	table atomic.Pointer[routing.Table]
-	pool  *targetpool.Pool
-	reach *reach
-	start time.Time
+	// configured is closed once there is a table.
+	configured chan struct{}
+	server     atomic.Pointer[http.Server]
+	pool       *targetpool.Pool
+	reach      *reach
+	start      time.Time
 
 	mu       sync.Mutex
 	registry *balance.Registry
@@ -64,10 +68,11 @@
 // New returns a host without configuration and targets.
 func New(o Options) *Host {
 	h := &Host{
-		Options:  o,
-		pool:     targetpool.New(o.Dialer),
-		start:    time.Now(),
-		registry: balance.NewRegistry(o.DataCentre),
+		Options:    o,
+		configured: make(chan struct{}),
+		pool:       targetpool.New(o.Dialer),
+		start:      time.Now(),
+		registry:   balance.NewRegistry(o.DataCentre),
 	}
 	h.reach = newReach(h)
 	return h
@@ -76,28 +81,61 @@
 // now is the host's monotonic time.
 func (h *Host) now() time.Duration { return time.Since(h.start) }
 
-// Server defaults, in force until the first configuration says otherwise.
+// Limits where a configuration leaves them out.
 const (
 	defaultHeaderBytes   = 16 << 10
+	defaultBodyBytes     = 1 << 20
 	defaultHeaderTimeout = 3 * time.Second
 	defaultIdleTimeout   = 15 * time.Second
 )
 
-// Serve takes callers' requests until Shutdown.
-func (h *Host) Serve(listener net.Listener) *http.Server {
-	server := &http.Server{
-		Handler:           h,
-		MaxHeaderBytes:    defaultHeaderBytes,
-		ReadHeaderTimeout: defaultHeaderTimeout,
-		IdleTimeout:       defaultIdleTimeout,
-		ErrorLog:          h.Log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
-	}
+// configurationWait is how long connections wait for the first configuration,
+// which says what callers may send; without one they are refused in good order.
+const configurationWait = 300 * time.Millisecond
+
+// Serve takes callers' requests until Drain or Close.
+func (h *Host) Serve(listener net.Listener) {
 	go func() {
+		select {
+		case <-h.configured:
+		case <-time.After(configurationWait):
+		}
+		limits := h.limits()
+		server := &http.Server{
+			Handler:           h,
+			MaxHeaderBytes:    cmp.Or(limits.HeaderBytes, defaultHeaderBytes),
+			ReadHeaderTimeout: cmp.Or(limits.HeaderTimeout, defaultHeaderTimeout),
+			IdleTimeout:       idleBackstop,
+			ConnState:         newIdleConns(h.idleTimeout).state,
+			ErrorLog:          h.Log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+		}
+		h.server.Store(server)
 		if err := server.Serve(listener); err != nil && err != http.ErrServerClosed {
 			h.Log.Error("callers' listener failed", "error", err.Error())
 		}
 	}()
-	return server
+}
+
+// idleBackstop is above any idle limit; see idleConns.
+const idleBackstop = 10 * time.Minute
+
+// limits are those of the configuration in force, if there is one.
+func (h *Host) limits() routing.Limits {
+	if t := h.table.Load(); t != nil {
+		return t.Limits
+	}
+	return routing.Limits{}
+}
+
+func (h *Host) idleTimeout() time.Duration {
+	return cmp.Or(h.limits().IdleTimeout, defaultIdleTimeout)
+}
+
+// Close cuts all callers off.
+func (h *Host) Close() {
+	if server := h.server.Load(); server != nil {
+		_ = server.Close()
+	}
 }
 
 // Ready reports whether the host can serve: it has a configuration and knows the
@@ -155,15 +193,17 @@
 
 // Drain stops the host within grace: it is not ready at once, serves on until no
 // new connections come, then closes connections as they fall idle.
-func (h *Host) Drain(server *http.Server, grace time.Duration) {
+func (h *Host) Drain(grace time.Duration) {
 	h.draining.Store(true)
 	h.Log.Info("draining", "active", h.active.Load())
 	end := time.Now().Add(grace - settleReserve)
 	time.Sleep(min(leaveAfter, grace/3))
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		h.Log.Warn("requests cut off at the end of the grace time", "active", h.active.Load())
+	if server := h.server.Load(); server != nil {
+		if err := server.Shutdown(ctx); err != nil {
+			h.Log.Warn("requests cut off at the end of the grace time", "active", h.active.Load())
+		}
 	}
 	done := make(chan struct{})
 	go func() {
--- a/daemon/entry/view.go
+++ b/daemon/entry/view.go
@@ -77,6 +77,9 @@
 			return false
 		}
 		if h.table.CompareAndSwap(old, t) {
+			if old == nil {
+				close(h.configured)
+			}
 			return true
 		}
 	}
