--- a/daemon/entry/host.go
+++ b/daemon/entry/host.go
@@ -52,6 +52,7 @@
 	// configured is closed once there is a table.
 	configured chan struct{}
 	server     atomic.Pointer[http.Server]
+	listener   net.Listener
 	pool       *targetpool.Pool
 	reach      *reach
 	start      time.Time
@@ -95,6 +96,7 @@
 
 // Serve takes callers' requests until Drain or Close.
 func (h *Host) Serve(listener net.Listener) {
+	h.listener = listener
 	go func() {
 		select {
 		case <-h.configured:
@@ -133,6 +135,7 @@
 
 // Close cuts all callers off.
 func (h *Host) Close() {
+	_ = h.listener.Close()
 	if server := h.server.Load(); server != nil {
 		_ = server.Close()
 	}
