--- a/core/balance/cache.go
+++ b/core/balance/cache.go
@@ -1,6 +1,9 @@
 package balance
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pistachioarch/pistachioarch/core/request"
@@ -22,19 +25,19 @@
 	for _, p := range parts {
 		c.used[p.ID] = now
 	}
-	for len(c.used) > cacheEntries {
+	if len(c.used) > cacheEntries {
 		c.evict()
 	}
 }
 
+// evict forgets the older half, so that its cost is spread over many adds.
 func (c *prefixCache) evict() {
-	oldest := ""
-	for id, at := range c.used {
-		if oldest == "" || at < c.used[oldest] || at == c.used[oldest] && id < oldest {
-			oldest = id
-		}
+	ids := slices.SortedFunc(maps.Keys(c.used), func(a, b string) int {
+		return cmp.Or(cmp.Compare(c.used[a], c.used[b]), cmp.Compare(a, b))
+	})
+	for _, id := range ids[:len(ids)/2] {
+		delete(c.used, id)
 	}
-	delete(c.used, oldest)
 }
 
 // covered is the number of tokens at the start of the prompt that the engine
--- a/daemon/cmd/pistachiod/entry.go
+++ b/daemon/cmd/pistachiod/entry.go
@@ -18,7 +18,8 @@
 	past := quorum.New(dialer, set.DataCentre, logger)
 	host := entry.New(entry.Options{
 		Headers: platform.Headers{}, History: past, Dialer: dialer,
-		DataCentre: set.DataCentre, ReadyPath: platform.ReadyPath, Log: logger,
+		DataCentre: set.DataCentre, MemoryBytes: set.MemoryBytes, Descriptors: set.Descriptors,
+		ReadyPath: platform.ReadyPath, Log: logger,
 	})
 	callers, err := listen(set.CallerListen)
 	if err != nil {
--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -23,6 +23,9 @@
 	maxIdleFarOnce = 500 * time.Millisecond
 )
 
+// leastUrgent is the last rank that targets know.
+const leastUrgent = 9
+
 // hopByHop are the headers that concern only one connection.
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
@@ -155,6 +158,7 @@
 func (x *exchange) outgoing(t balance.Listed, lastEvent string) *targetpool.Request {
 	header := x.host.Headers.Outgoing(x.r.Header, request.Send{
 		Target: t.ID, Left: time.Until(x.deadline), LastEvent: lastEvent,
+		Urgency: min(leastUrgent, x.route.Priority), HasUrgency: x.engine != nil,
 	})
 	stripHop(header)
 	idle := maxIdle
--- a/daemon/entry/handle.go
+++ b/daemon/entry/handle.go
@@ -43,13 +43,16 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	h.active.Add(1)
-	defer h.active.Add(-1)
 	x := &exchange{host: h, w: w, r: r, began: time.Now(), tried: map[string]bool{}}
 	if !h.Ready() {
 		// The caller's next connection goes to a host that is ready.
 		w.Header().Set("Connection", "close")
 	}
+	if !h.enter() {
+		x.fail(failure.Retry(failure.Overloaded, retryLater, "the host holds %d requests", h.active()))
+		return
+	}
+	defer h.leave()
 	if err := x.serve(); err != nil {
 		x.fail(failure.From(err))
 		return
--- a/daemon/entry/host.go
+++ b/daemon/entry/host.go
@@ -40,6 +40,9 @@
 	// Dialer opens connections to targets.
 	Dialer     targetpool.Dialer
 	DataCentre string
+	// MemoryBytes and Descriptors are the process's limits; 0 if there is none.
+	MemoryBytes int64
+	Descriptors int
 	// ReadyPath is where the platform asks whether the host takes requests.
 	ReadyPath string
 	Log       *log.Logger
@@ -57,11 +60,11 @@
 	reach      *reach
 	start      time.Time
 
-	mu       sync.Mutex
-	registry *balance.Registry
+	mu        sync.Mutex
+	registry  *balance.Registry
+	admission *balance.Admission
 
 	draining atomic.Bool
-	active   atomic.Int64
 	// work is what goes on after an answer: settling budgets.
 	work sync.WaitGroup
 }
@@ -74,11 +77,32 @@
 		pool:       targetpool.New(o.Dialer),
 		start:      time.Now(),
 		registry:   balance.NewRegistry(o.DataCentre),
+		admission:  balance.NewAdmission(o.MemoryBytes, o.Descriptors),
 	}
 	h.reach = newReach(h)
 	return h
 }
 
+// enter admits a request, or reports that the host holds too many.
+func (h *Host) enter() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.admission.Enter()
+}
+
+func (h *Host) leave() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.admission.Leave()
+}
+
+// active is the number of requests held.
+func (h *Host) active() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.admission.Active()
+}
+
 // now is the host's monotonic time.
 func (h *Host) now() time.Duration { return time.Since(h.start) }
 
@@ -198,14 +222,14 @@
 // new connections come, then closes connections as they fall idle.
 func (h *Host) Drain(grace time.Duration) {
 	h.draining.Store(true)
-	h.Log.Info("draining", "active", h.active.Load())
+	h.Log.Info("draining", "active", h.active())
 	end := time.Now().Add(grace - settleReserve)
 	time.Sleep(min(leaveAfter, grace/3))
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if server := h.server.Load(); server != nil {
 		if err := server.Shutdown(ctx); err != nil {
-			h.Log.Warn("requests cut off at the end of the grace time", "active", h.active.Load())
+			h.Log.Warn("requests cut off at the end of the grace time", "active", h.active())
 		}
 	}
 	done := make(chan struct{})
