Programs are kept for as long as their route says

Cause: history hosts kept programs for two minutes, whatever retentionS was; a deployment with a longer one would have lost turns. Each record now says until when its program is kept.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -9,7 +9,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -23,7 +22,7 @@
 
 type program struct {
 	slot    uint32
-	written int64 // ms, the newest record
+	expires int64 // ms since the Unix epoch
 	spent   map[string]spending
 	turns   map[string]bool // the program's finished turns, and chains that it took over
 }
@@ -53,7 +52,7 @@
 		p = &program{slot: r.Slot, spent: map[string]spending{}, turns: map[string]bool{}}
 		l.programs[r.Program] = p
 	}
-	p.written = max(p.written, r.WrittenMs)
+	p.expires = max(p.expires, r.ExpiresMs)
 	switch c := r.Change.(type) {
 	case *historypb.Record_Reserve:
 		if _, known := p.spent[c.Reserve.Turn]; !known {
@@ -162,7 +161,7 @@
 func (l *Ledger) programRecords(name string, p *program) []*historypb.Record {
 	list := make([]*historypb.Record, 0, len(p.spent)+len(p.turns))
 	for turn, s := range p.spent {
-		r := &historypb.Record{Slot: p.slot, Program: name, WrittenMs: p.written}
+		r := &historypb.Record{Slot: p.slot, Program: name, ExpiresMs: p.expires}
 		if s.settled {
 			r.Change = &historypb.Record_Settle{Settle: &historypb.Settle{Turn: turn, Tokens: s.tokens}}
 		} else {
@@ -172,20 +171,19 @@
 	}
 	for id := range p.turns {
 		list = append(list, &historypb.Record{
-			Slot: p.slot, Program: name, WrittenMs: p.written,
+			Slot: p.slot, Program: name, ExpiresMs: p.expires,
 			Change: &historypb.Record_Turn{Turn: l.turns[id].turn},
 		})
 	}
 	return list
 }
 
-// Expire drops the programs without a record for longer than retention. A turn
-// lives as long as any program that keeps it.
-func (l *Ledger) Expire(nowMs int64, retention time.Duration) int {
+// Expire drops the programs whose time is over. A turn lives as long as any
+// program that keeps it.
+func (l *Ledger) Expire(nowMs int64) int {
 	dropped := 0
-	limit := nowMs - retention.Milliseconds()
 	for name, p := range l.programs {
-		if p.written >= limit {
+		if p.expires > nowMs {
 			continue
 		}
 		for id := range p.turns {
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -12,15 +11,15 @@
 )
 
 func reserve(program, turn string, tokens int64) *historypb.Record {
-	return &historypb.Record{Program: program, WrittenMs: 1000, Change: &historypb.Record_Reserve{Reserve: &historypb.Reserve{Turn: turn, Tokens: tokens}}}
+	return &historypb.Record{Program: program, ExpiresMs: 1000, Change: &historypb.Record_Reserve{Reserve: &historypb.Reserve{Turn: turn, Tokens: tokens}}}
 }
 
 func settle(program, turn string, tokens int64) *historypb.Record {
-	return &historypb.Record{Program: program, WrittenMs: 1000, Change: &historypb.Record_Settle{Settle: &historypb.Settle{Turn: turn, Tokens: tokens}}}
+	return &historypb.Record{Program: program, ExpiresMs: 1000, Change: &historypb.Record_Settle{Settle: &historypb.Settle{Turn: turn, Tokens: tokens}}}
 }
 
 func finished(program, turn, previous string) *historypb.Record {
-	return &historypb.Record{Program: program, WrittenMs: 1000, Change: &historypb.Record_Turn{
+	return &historypb.Record{Program: program, ExpiresMs: 1000, Change: &historypb.Record_Turn{
 		Turn: &historypb.Turn{Turn: turn, Previous: previous, Content: []byte(turn + " ")},
 	}}
 }
@@ -70,11 +69,11 @@
 	l := New()
 	l.Apply(finished("old", "a", ""))
 	copied := finished("new", "a", "")
-	copied.WrittenMs = 90_000
+	copied.ExpiresMs = 90_000
 	l.Apply(copied)
-	require.Equal(t, 1, l.Expire(100_000, time.Minute))
+	require.Equal(t, 1, l.Expire(50_000))
 	require.Equal(t, []string{"a"}, ids(l.Chain("a", nil)))
-	require.Equal(t, 1, l.Expire(200_000, time.Minute))
+	require.Equal(t, 1, l.Expire(100_000))
 	require.Empty(t, l.Chain("a", nil))
 	require.Zero(t, l.Bytes())
 }
--- a/ctl/roles/cluster_test.go
+++ b/ctl/roles/cluster_test.go
@@ -128,7 +128,7 @@
 func dataCentre(name string) string { return "dc" + name[1:] }
 
 func (c *cluster) startHistory(h *historyHost) {
-	server, err := history.OpenServer(h.dir, time.Hour, logger())
+	server, err := history.OpenServer(h.dir, logger())
 	require.NoError(c.t, err)
 	h.server = server
 	h.listener = c.net.Listen(h.place + ":1")
--- a/daemon/cmd/pistachiod/history.go
+++ b/daemon/cmd/pistachiod/history.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/charmbracelet/log"
 
@@ -14,12 +13,8 @@
 	"github.com/pistachioarch/pistachioarch/wire/rpc"
 )
 
-// retention is how long turns are kept after their program's last record, until
-// a route's own retention is known to history hosts.
-const retention = 2 * time.Minute
-
 func runHistory(ctx context.Context, set *settings.Role, logger *log.Logger) error {
-	server, err := history.OpenServer(set.DataFolder, retention, logger)
+	server, err := history.OpenServer(set.DataFolder, logger)
 	if err != nil {
 		return err
 	}
--- a/daemon/entry/turn.go
+++ b/daemon/entry/turn.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -25,6 +26,14 @@
 	events int64
 }
 
+// defaultRetention is for routes that do not say how long programs are kept.
+const defaultRetention = 2 * time.Minute
+
+// retention is how long the program is kept after this turn.
+func (x *exchange) retention() time.Duration {
+	return max(cmp.Or(x.route.Retention, defaultRetention), x.call.ProgramLeft)
+}
+
 func (x *exchange) isTurn() bool {
 	return x.route.Kind == routing.Streaming && x.call.Program != "" && x.engine != nil
 }
@@ -69,7 +78,7 @@
 		Reserve: &historypb.Reserve{Turn: x.call.ID, Tokens: x.call.MaxTokens},
 	}}
 	history := x.host.History
-	if err := history.Write(ctx, x.call.Program, reserve); err != nil {
+	if err := history.Write(ctx, x.call.Program, x.retention(), reserve); err != nil {
 		return t.later(err)
 	}
 	previous := ""
@@ -119,7 +128,7 @@
 	for _, c := range chain {
 		records = append(records, &historypb.Record{Change: &historypb.Record_Turn{Turn: c}})
 	}
-	if err := t.x.host.History.Write(ctx, t.x.call.Program, records...); err != nil {
+	if err := t.x.host.History.Write(ctx, t.x.call.Program, t.x.retention(), records...); err != nil {
 		return t.later(err)
 	}
 	return nil
@@ -134,7 +143,7 @@
 			Turn: &historypb.Turn{Turn: t.x.call.ID, Previous: t.x.call.Previous, Content: content},
 		}})
 	}
-	if err := t.x.host.History.Write(ctx, t.x.call.Program, records...); err != nil {
+	if err := t.x.host.History.Write(ctx, t.x.call.Program, t.x.retention(), records...); err != nil {
 		return failure.Unknown(failure.HistoryUnavailable, "turn not kept: %v", err)
 	}
 	return nil
@@ -153,7 +162,7 @@
 	h.work.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), settlePatience)
 		defer cancel()
-		if err := h.History.Write(ctx, t.x.call.Program, t.settlement()); err != nil {
+		if err := h.History.Write(ctx, t.x.call.Program, t.x.retention(), t.settlement()); err != nil {
 			h.Log.Warn("budget not settled", "request", t.x.call.ID, "program", t.x.call.Program, "tokens", t.tokens(), "error", err.Error())
 		}
 	})
--- a/daemon/history/server.go
+++ b/daemon/history/server.go
@@ -20,17 +20,14 @@
 	pageBytes = 64 << 10
 	// sweepEvery is how often programs past their retention are dropped.
 	sweepEvery = 5 * time.Second
-	// segmentSlack is kept beyond the retention before a segment is dropped.
-	segmentSlack = 10 * time.Second
 )
 
 // Server answers entry hosts and joining members. Safe for concurrent use.
 type Server struct {
-	member    string
-	dir       string
-	log       *wal.Log
-	logger    *log.Logger
-	retention time.Duration
+	member string
+	dir    string
+	log    *wal.Log
+	logger *log.Logger
 
 	mu       sync.Mutex
 	ledger   *ledger.Ledger
@@ -41,8 +38,8 @@
 }
 
 // OpenServer replays the journal in dir.
-func OpenServer(dir string, retention time.Duration, logger *log.Logger) (*Server, error) {
-	s := &Server{dir: dir, logger: logger, retention: retention, ledger: ledger.New(), refresh: func() {}}
+func OpenServer(dir string, logger *log.Logger) (*Server, error) {
+	s := &Server{dir: dir, logger: logger, ledger: ledger.New(), refresh: func() {}}
 	records := 0
 	var damage []wal.Damage
 	var err error
@@ -223,7 +220,7 @@
 	s.log.Append(nil, page)
 }
 
-// Sweep drops programs past their retention and old segments, until stop.
+// Sweep drops programs whose time is over and old segments, until stop.
 func (s *Server) Sweep(stop <-chan struct{}) {
 	tick := time.NewTicker(sweepEvery)
 	defer tick.Stop()
@@ -239,14 +236,14 @@
 
 func (s *Server) sweep(nowMs int64) {
 	s.mu.Lock()
-	dropped := s.ledger.Expire(nowMs, s.retention+segmentSlack)
+	dropped := s.ledger.Expire(nowMs)
 	s.mu.Unlock()
 	if dropped > 0 {
 		s.logger.Info("programs past their retention dropped", "programs", dropped)
 	}
 	for {
-		programs, newest, ok := s.log.Oldest()
-		if !ok || newest > nowMs-(s.retention+segmentSlack).Milliseconds() {
+		programs, expires, ok := s.log.Oldest()
+		if !ok || expires > nowMs {
 			return
 		}
 		if !s.carry(programs) {
--- /dev/null
+++ b/daemon/history/server_test.go
@@ -0,0 +1,124 @@
+package history
+
+import (
+	"fmt"
+	"io"
+	"testing"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachioarch/pistachioarch/core/historypb"
+	"github.com/pistachioarch/pistachioarch/core/placement"
+)
+
+func openServer(t *testing.T, dir string) *Server {
+	s, err := OpenServer(dir, log.New(io.Discard))
+	require.NoError(t, err)
+	return s
+}
+
+// alone gives the server a map in which it is the only member.
+func alone(t *testing.T, s *Server) *placement.Map {
+	m := placement.New(1)
+	m.Admit(placement.Member{ID: s.Member(), Host: "h", Address: "a", DataCentre: "dc"})
+	m.Assign()
+	require.NoError(t, s.Adopt(m))
+	return m
+}
+
+func ask(s *Server, req *historypb.Request) *historypb.Reply {
+	answer := make(chan *historypb.Reply, 1)
+	s.Handle(req, func(r *historypb.Reply) { answer <- r })
+	return <-answer
+}
+
+func writeOf(s *Server, epoch uint64, program, turn string, expires int64) *historypb.Request {
+	slot := placement.SlotOf(program)
+	return &historypb.Request{Member: s.Member(), Slot: slot, Epoch: epoch, Call: &historypb.Request_Write{Write: &historypb.Write{
+		Records: []*historypb.Record{{Slot: slot, Program: program, ExpiresMs: expires, Change: &historypb.Record_Turn{
+			Turn: &historypb.Turn{Turn: turn, Content: []byte("content of " + turn)},
+		}}},
+	}}}
+}
+
+func readOf(s *Server, epoch uint64, program, turn string) *historypb.Request {
+	return &historypb.Request{Member: s.Member(), Slot: placement.SlotOf(program), Epoch: epoch,
+		Call: &historypb.Request_Read{Read: &historypb.Read{Program: program, Turn: turn}}}
+}
+
+func TestWhatWasAcknowledgedIsThereAfterARestart(t *testing.T) {
+	dir := t.TempDir()
+	s := openServer(t, dir)
+	m := alone(t, s)
+	require.Equal(t, historypb.Status_STATUS_OK, ask(s, writeOf(s, m.Epoch, "p", "1", 1<<60)).Status)
+	member := s.Member()
+	s.Close()
+	s = openServer(t, dir)
+	defer s.Close()
+	require.Equal(t, member, s.Member())
+	require.Equal(t, m.Epoch, s.Map().Epoch, "the map is known without the platform")
+	reply := ask(s, readOf(s, m.Epoch, "p", "1"))
+	require.Len(t, reply.Chain, 1)
+	require.Equal(t, "content of 1", string(reply.Chain[0].Content))
+}
+
+func TestRequestsForOthersAndOldMapsAreRefused(t *testing.T) {
+	s := openServer(t, t.TempDir())
+	defer s.Close()
+	require.Equal(t, historypb.Status_STATUS_UNAVAILABLE, ask(s, writeOf(s, 9, "p", "1", 1)).Status, "no map yet")
+	m := alone(t, s)
+	other := writeOf(s, m.Epoch, "p", "1", 1)
+	other.Member = "other"
+	require.Equal(t, historypb.Status_STATUS_WRONG_MEMBER, ask(s, other).Status)
+	reply := ask(s, writeOf(s, m.Epoch-1, "p", "1", 1))
+	require.Equal(t, historypb.Status_STATUS_STALE_EPOCH, reply.Status)
+	require.NotEmpty(t, reply.SlotMap, "the sender learns the newer map")
+	ahead := &historypb.Request{Member: s.Member(), Epoch: m.Epoch + 1, Call: &historypb.Request_Copy{Copy: &historypb.Copy{}}}
+	require.Equal(t, historypb.Status_STATUS_UNAVAILABLE, ask(s, ahead).Status, "a source must know the map that fences it")
+}
+
+func TestCopyGivesASlotInPages(t *testing.T) {
+	s := openServer(t, t.TempDir())
+	defer s.Close()
+	m := alone(t, s)
+	slot, written := placement.SlotOf("p0"), 0
+	for i := 0; written < 30; i++ {
+		p := fmt.Sprintf("p%d", i)
+		if placement.SlotOf(p) != slot {
+			continue
+		}
+		req := writeOf(s, m.Epoch, p, "t"+p, 1<<60)
+		req.GetWrite().Records[0].GetTurn().Content = make([]byte, pageBytes/4)
+		require.Equal(t, historypb.Status_STATUS_OK, ask(s, req).Status)
+		written++
+	}
+	pages, records, after := 0, 0, ""
+	for more := true; more; pages++ {
+		reply := ask(s, &historypb.Request{Member: s.Member(), Slot: slot, Epoch: m.Epoch, Call: &historypb.Request_Copy{Copy: &historypb.Copy{After: after}}})
+		require.Equal(t, historypb.Status_STATUS_OK, reply.Status)
+		records += len(reply.Records)
+		after, more = reply.Records[len(reply.Records)-1].Program, reply.More
+	}
+	require.Equal(t, written, records)
+	require.Greater(t, pages, 5)
+}
+
+func TestSweepDropsWhatExpiredAndCarriesWhatLives(t *testing.T) {
+	dir := t.TempDir()
+	s := openServer(t, dir)
+	m := alone(t, s)
+	require.Equal(t, historypb.Status_STATUS_OK, ask(s, writeOf(s, m.Epoch, "old", "1", 1000)).Status)
+	big := writeOf(s, m.Epoch, "kept", "2", 1000)
+	big.GetWrite().Records[0].GetTurn().Content = make([]byte, 5<<20) // fills the segment
+	require.Equal(t, historypb.Status_STATUS_OK, ask(s, big).Status)
+	require.Equal(t, historypb.Status_STATUS_OK, ask(s, writeOf(s, m.Epoch, "kept", "3", 9000)).Status)
+	s.sweep(2000)
+	require.Empty(t, ask(s, readOf(s, m.Epoch, "old", "1")).Chain)
+	s.Close()
+	s = openServer(t, dir)
+	defer s.Close()
+	require.Empty(t, ask(s, readOf(s, m.Epoch, "old", "1")).Chain)
+	require.Len(t, ask(s, readOf(s, m.Epoch, "kept", "2")).Chain, 1, "carried into the new segment")
+	require.Len(t, ask(s, readOf(s, m.Epoch, "kept", "3")).Chain, 1)
+}
--- a/daemon/quorum/quorum.go
+++ b/daemon/quorum/quorum.go
@@ -169,12 +169,16 @@
 // process that was killed to be back, short against a caller's patience.
 const retryPause = 50 * time.Millisecond
 
-// Write makes records of one program durable. It goes on trying until the
-// context ends; records may be written more than once.
-func (c *Client) Write(ctx context.Context, program string, records ...*historypb.Record) error {
-	now := time.Now().UnixMilli()
+// retentionSlack covers clocks of hosts that differ or jump by some seconds.
+const retentionSlack = 15 * time.Second
+
+// Write makes records of one program durable; the program is kept for retention
+// from now on. Write goes on trying until the context ends; records may be
+// written more than once.
+func (c *Client) Write(ctx context.Context, program string, retention time.Duration, records ...*historypb.Record) error {
+	expires := time.Now().Add(retention + retentionSlack).UnixMilli()
 	for _, r := range records {
-		r.Slot, r.Program, r.WrittenMs = placement.SlotOf(program), program, now
+		r.Slot, r.Program, r.ExpiresMs = placement.SlotOf(program), program, expires
 	}
 	for {
 		err := c.writeOnce(ctx, records)
--- a/daemon/wal/trim.go
+++ b/daemon/wal/trim.go
@@ -8,9 +8,9 @@
 	"github.com/pistachioarch/pistachioarch/core/failure"
 )
 
-// Oldest returns the programs with records in the oldest segment and the time of
-// its newest record, if there is a segment besides the one being written.
-func (l *Log) Oldest() (programs []string, newestMs int64, ok bool) {
+// Oldest returns the programs with records in the oldest segment and when the last
+// of these records expires, if there is a segment besides the one being written.
+func (l *Log) Oldest() (programs []string, expiresMs int64, ok bool) {
 	l.segMu.Lock()
 	defer l.segMu.Unlock()
 	if len(l.segments) < 2 {
@@ -20,7 +20,7 @@
 	for name := range s.programs {
 		programs = append(programs, name)
 	}
-	return programs, s.newestMs, true
+	return programs, s.expiresMs, true
 }
 
 // DropOldest removes the oldest segment. What was live in it must have been
--- a/daemon/wal/wal.go
+++ b/daemon/wal/wal.go
@@ -70,10 +70,10 @@
 
 // segment is what is known of one file.
 type segment struct {
-	number   uint64
-	size     int64
-	programs map[string]bool
-	newestMs int64
+	number    uint64
+	size      int64
+	programs  map[string]bool
+	expiresMs int64 // of the record that is kept longest
 }
 
 // Damage is one place at which the replay of a segment stopped early.
@@ -180,7 +180,7 @@
 func (s *segment) note(r *historypb.Record, size int64) {
 	s.size += size
 	s.programs[r.Program] = true
-	s.newestMs = max(s.newestMs, r.WrittenMs)
+	s.expiresMs = max(s.expiresMs, r.ExpiresMs)
 }
 
 // Append queues records and returns at once; done is called from the writer.
--- a/daemon/wal/wal_test.go
+++ b/daemon/wal/wal_test.go
@@ -13,7 +13,7 @@
 )
 
 func record(program string, size int) *historypb.Record {
-	return &historypb.Record{Program: program, WrittenMs: 7, Change: &historypb.Record_Turn{
+	return &historypb.Record{Program: program, ExpiresMs: 7, Change: &historypb.Record_Turn{
 		Turn: &historypb.Turn{Turn: "t-" + program, Content: make([]byte, size)},
 	}}
 }
@@ -119,10 +119,10 @@
 	l, _, _ := open(t, dir)
 	require.NoError(t, appendWait(l, record("old", segmentBytes)))
 	require.NoError(t, appendWait(l, record("new", 10)))
-	programs, newest, ok := l.Oldest()
+	programs, expires, ok := l.Oldest()
 	require.True(t, ok)
 	require.Equal(t, []string{"old"}, programs)
-	require.EqualValues(t, 7, newest)
+	require.EqualValues(t, 7, expires)
 	require.NoError(t, appendWait(l, record("old", 20)))
 	require.NoError(t, l.DropOldest())
 	require.Less(t, l.Bytes(), int64(segmentBytes))
