--- a/daemon/cmd/pistachiod/history.go
+++ b/daemon/cmd/pistachiod/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/charmbracelet/log"
 
@@ -13,6 +14,10 @@
 	"github.com/pistachioarch/pistachioarch/wire/rpc"
 )
 
+// retirementWatch is how long a watch for retirements waits: one that hangs delays
+// the emptying of a host, which takes a few seconds itself.
+const retirementWatch = 6 * time.Second
+
 func runHistory(ctx context.Context, set *settings.Role, logger *log.Logger) error {
 	server, err := history.OpenServer(set.DataFolder, logger)
 	if err != nil {
@@ -26,7 +31,7 @@
 	retirements := platform.NewRetirements(store)
 	self := placement.Member{ID: server.Member(), Host: set.Host, Address: set.HistoryListen(), DataCentre: set.DataCentre}
 	keeper := history.NewKeeper(server, store, self, set.FaultHosts, retirements, peerDialer(), logger)
-	go objects.Follow(ctx, store, platform.RetirementKind, set.WatchFor(), retirements)
+	go objects.Follow(ctx, store, platform.RetirementKind, retirementWatch, retirements)
 	go keeper.Run(ctx)
 	go server.Sweep(ctx.Done())
 	go func() {
--- a/daemon/settings/role.go
+++ b/daemon/settings/role.go
@@ -32,8 +32,9 @@
 }
 
 const (
-	// watchMargin is kept of the contact time for giving up a watch and reading anew.
-	watchMargin = time.Second
+	// watchMargin is kept of the contact time for giving up a watch that hangs (0.3 s)
+	// and reading anew (0.1 s); each watch is a priced call.
+	watchMargin = 700 * time.Millisecond
 	// watchLeast keeps watches from turning into polls where the contact time is short.
 	watchLeast = 500 * time.Millisecond
 )
--- a/daemon/settings/role_test.go
+++ b/daemon/settings/role_test.go
@@ -35,7 +35,7 @@
 	require.NoError(t, err)
 	require.Equal(t, "10.0.0.1:7380", r.HistoryListen())
 	require.Equal(t, 8*time.Second, r.Grace)
-	require.Equal(t, 3*time.Second, r.WatchFor())
+	require.Equal(t, 3300*time.Millisecond, r.WatchFor())
 	require.EqualValues(t, 134<<20, r.MemoryBytes)
 	require.Equal(t, 2, r.FaultHosts)
 }
