--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 bench:
 	cd core && $(GO) test -run '^$$' -bench . -benchmem ./...
 	cd ctl && $(GO) test -run '^$$' -bench . -benchtime 3s ./bench
+	cd daemon && $(GO) test -run '^$$' -bench . -benchmem ./wal ./logsink
 
 # The slopes of docs/CAPACITY.md.
 capacity:
