--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -7,6 +7,7 @@
 package balance
 
 import (
+	"math"
 	"time"
 
 	"github.com/pistachioarch/pistachioarch/core/request"
@@ -35,7 +36,10 @@
 	reportedAt time.Duration
 	hasReport  bool
 	breaker    sched.Breaker
-	cache      prefixCache
+	// faults is the recent failures, fading; see fade.
+	faults   float64
+	faultsAt time.Duration
+	cache    prefixCache
 	// Unreachable targets are not picked; whoever set it probes them.
 	Unreachable bool
 }
@@ -149,11 +153,35 @@
 	switch o {
 	case Served:
 		t.breaker.Success()
+		t.faults = t.fade(now) * faultKept
+		t.faultsAt = now
 	case Failed:
 		t.breaker.Failure(now)
+		t.faults = t.fade(now) + 1
+		t.faultsAt = now
 	}
 }
 
+const (
+	// faultHalfLife lets a target that failed be tried again after some seconds.
+	faultHalfLife = 3 * time.Second
+	// faultKept is what one success leaves of the failures before it: a target that
+	// fails one request in a hundred is not avoided, one that fails four in ten is.
+	faultKept = 0.8
+	// faultWeight is the cost of one recent failure, and faultMost the most counted:
+	// enough to leave a target that is idle for one that is nearly full.
+	faultWeight = 0.4
+	faultMost   = 4
+)
+
+// fade is the target's failures by now.
+func (t *Target) fade(now time.Duration) float64 {
+	if t.faults == 0 {
+		return 0
+	}
+	return t.faults * math.Exp2(-float64(now-t.faultsAt)/float64(faultHalfLife))
+}
+
 // Load estimates the requests at the target: the larger of its own count and
 // this host's.
 func (t *Target) Load() int {
@@ -205,7 +233,7 @@
 			continue
 		}
 		candidates++
-		if cost := r.cost(t, q); best == nil || cost < bestCost {
+		if cost := r.cost(t, q, now); best == nil || cost < bestCost {
 			best, bestCost = t, cost
 		}
 	}
@@ -232,13 +260,14 @@
 	return max(0, q.PromptTokens-covered)
 }
 
-func (r *Registry) cost(t *Target, q Query) float64 {
+func (r *Registry) cost(t *Target, q Query, now time.Duration) float64 {
 	places := float64(max(1, t.Places))
 	load := float64(t.Load()) / places
 	cost := load
 	if load >= 1 {
 		cost += fullWeight
 	}
+	cost += faultWeight * min(faultMost, t.fade(now))
 	if t.DataCentre != r.dataCentre {
 		cost += farWeight
 	}
--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -42,22 +42,41 @@
 
 // forward sends the request to targets until one answers or no more may be tried.
 func (x *exchange) forward(ctx context.Context) error {
+	var worst error
 	for {
 		t, err := x.pick()
 		if err != nil {
-			return err
+			return worse(worst, err)
 		}
 		again, err := x.try(ctx, t)
-		if err == nil || !again || ctx.Err() != nil {
-			return err
+		if err == nil {
+			return nil
+		}
+		worst = worse(worst, err)
+		if !again || ctx.Err() != nil {
+			return worst
 		}
 		x.host.Log.Info("request sent again", "request", x.call.ID, "target", t.ID, "sends", x.sends, "error", err.Error())
 		if x.sends >= x.route.Attempts {
-			return err
+			return worst
 		}
 	}
 }
 
+// worse is the later failure, unless the earlier one says that the request may
+// have run and the later one does not.
+func worse(earlier, later error) error {
+	if earlier != nil && failure.From(earlier).Ran != failure.RanNo && failure.From(later).Ran == failure.RanNo {
+		return earlier
+	}
+	return later
+}
+
+// repeatable reports whether the request may run more than once.
+func (x *exchange) repeatable() bool {
+	return x.route.Kind == routing.Idempotent || x.route.Resumable
+}
+
 // pick chooses the next target.
 func (x *exchange) pick() (balance.Listed, error) {
 	h := x.host
@@ -82,6 +101,15 @@
 	return listed, nil
 }
 
+// hasOther reports whether there is a target that has not been tried.
+func (x *exchange) hasOther() bool {
+	h := x.host
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_, ok := h.registry.Pick(balance.Query{Service: x.service, Exclude: x.tried}, h.now())
+	return ok
+}
+
 // done reports the end of a send to the registry.
 func (x *exchange) done(target string, a *request.Answer, o balance.Outcome) {
 	h := x.host
@@ -109,7 +137,7 @@
 		if f.Ran != failure.RanNo {
 			x.sends++
 		}
-		return f.Ran == failure.RanNo || x.route.Kind == routing.Idempotent, err
+		return f.Ran == failure.RanNo || x.repeatable(), err
 	}
 	x.sends++
 	defer resp.Body.Close()
@@ -144,10 +172,12 @@
 }
 
 func outcomeOf(ctx context.Context, f *failure.Failure) balance.Outcome {
-	if ctx.Err() != nil || f.Kind == failure.CallerGone {
+	switch {
+	case f.Kind == failure.Timeout, ctx.Err() == nil && f.Kind != failure.CallerGone:
+		return balance.Failed
+	default:
 		return balance.Abandoned
 	}
-	return balance.Failed
 }
 
 func (x *exchange) decode(status int, h map[string][]string) request.Answer {
--- a/daemon/entry/plain.go
+++ b/daemon/entry/plain.go
@@ -9,7 +9,6 @@
 
 	"github.com/pistachioarch/pistachioarch/core/balance"
 	"github.com/pistachioarch/pistachioarch/core/failure"
-	"github.com/pistachioarch/pistachioarch/core/routing"
 	"github.com/pistachioarch/pistachioarch/wire/targetpool"
 )
 
@@ -29,13 +28,20 @@
 			f.Kind = failure.Timeout
 		}
 		x.done(t.ID, &resp.Answer, outcomeOf(ctx, f))
-		return x.route.Kind == routing.Idempotent, f
+		return x.repeatable(), f
 	}
 	if resp.Status < http.StatusMultipleChoices && !resp.Answer.Signed {
 		x.done(t.ID, &resp.Answer, balance.Failed)
-		return x.route.Kind == routing.Idempotent, failure.Unknown(failure.BadAnswer, "unsigned answer of %s", t.ID)
+		return x.repeatable(), failure.Unknown(failure.BadAnswer, "unsigned answer of %s", t.ID)
+	}
+	if resp.Status < http.StatusInternalServerError {
+		x.done(t.ID, &resp.Answer, balance.Served)
+	} else {
+		x.done(t.ID, &resp.Answer, balance.Failed)
+		if x.repeatable() && x.sends < x.route.Attempts && x.hasOther() {
+			return true, failure.Unknown(failure.TargetFailed, "target %s answered %d", t.ID, resp.Status)
+		}
 	}
-	x.done(t.ID, &resp.Answer, balance.Served)
 	x.copyHead(resp.Header)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.answered = true
