Remove what nothing calls

The chain's known turns, the pool's count of dials, the client's address, an unused field of the log, and the assertion on known turns with its feature.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -108,14 +108,10 @@
 }
 
 // Chain returns the turn and those before it, newest first, as far as they are
-// here; it stops before a turn in known.
-func (l *Ledger) Chain(turn string, known []string) []*historypb.Turn {
-	stop := map[string]bool{}
-	for _, k := range known {
-		stop[k] = true
-	}
+// here.
+func (l *Ledger) Chain(turn string) []*historypb.Turn {
 	var chain []*historypb.Turn
-	for turn != "" && !stop[turn] {
+	for turn != "" {
 		e := l.turns[turn]
 		if e == nil {
 			break
--- a/daemon/history/server.go
+++ b/daemon/history/server.go
@@ -196,7 +196,7 @@
 	return &historypb.Reply{
 		Status:   historypb.Status_STATUS_OK,
 		Spending: s.ledger.Spending(r.Program),
-		Chain:    s.ledger.Chain(r.Turn, r.Known),
+		Chain:    s.ledger.Chain(r.Turn),
 	}
 }
 
--- a/daemon/wal/wal.go
+++ b/daemon/wal/wal.go
@@ -61,7 +61,6 @@
 	// Of the writer only.
 	file    *os.File
 	number  uint64
-	size    int64
 	scratch []byte
 
 	segMu    sync.Mutex
--- a/wire/rpc/client.go
+++ b/wire/rpc/client.go
@@ -48,9 +48,6 @@
 	return &Client{address: address, dialer: dialer}
 }
 
-// Address is where the client connects to.
-func (c *Client) Address() string { return c.address }
-
 // Call sends a request and waits for its reply. Any error means that the member
 // may or may not have acted.
 func (c *Client) Call(ctx context.Context, req *historypb.Request) (*historypb.Reply, error) {
--- a/wire/targetpool/exchange.go
+++ b/wire/targetpool/exchange.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -220,5 +219,3 @@
 	b.x.abort()
 	return nil
 }
-
-var _ net.Conn = (*conn)(nil)
--- a/wire/targetpool/pool.go
+++ b/wire/targetpool/pool.go
@@ -50,7 +50,6 @@
 	dialer Dialer
 	mu     sync.Mutex
 	idle   map[string][]*conn
-	opened int64
 }
 
 // New returns an empty pool.
@@ -67,13 +66,6 @@
 	keep    time.Duration // how long it may be idle
 }
 
-// Opened is the number of connections dialled so far.
-func (p *Pool) Opened() int64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.opened
-}
-
 // take returns an idle connection that was used within maxIdle and still lives,
 // or nil.
 func (p *Pool) take(address string, maxIdle time.Duration) *conn {
@@ -117,9 +109,6 @@
 	if err != nil {
 		return nil, failure.Wrap(err, failure.TargetFailed, "dial %s", address)
 	}
-	p.mu.Lock()
-	p.opened++
-	p.mu.Unlock()
 	return &conn{Conn: raw, address: address, in: bufio.NewReaderSize(raw, readBuffer), keep: idleDefault}, nil
 }
 
