--- /dev/null
+++ b/daemon/entry/ingress_test.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachioarch/pistachioarch/wire/ownheaders"
+)
+
+// raw sends bytes on one connection and returns the statuses of the first n
+// answers, fewer if the host closes it before.
+func (s *system) raw(text string, n int) []int {
+	s.t.Helper()
+	c, err := net.Dial("tcp", s.server.Listener.Addr().String())
+	require.NoError(s.t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, text)
+	require.NoError(s.t, err)
+	in := bufio.NewReader(c)
+	var statuses []int
+	for len(statuses) < n {
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			return statuses
+		}
+		statuses = append(statuses, resp.StatusCode)
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return statuses
+		}
+	}
+	return statuses
+}
+
+func head(id string, extra ...string) string {
+	return "POST /plain/ HTTP/1.1\r\nHost: example\r\n" + ownheaders.ID + ": " + id + "\r\n" + strings.Join(extra, "")
+}
+
+func TestMalformedRequestsReachNoTarget(t *testing.T) {
+	for name, c := range map[string]struct {
+		text string
+		want []int
+	}{
+		"bad chunk":         {head("1", "Transfer-Encoding: chunked\r\n\r\n", "zz\r\nbody\r\n0\r\n\r\n"), []int{http.StatusBadRequest}},
+		"cut body":          {head("1", "Content-Length: 10\r\n\r\n", "short"), nil},
+		"two lengths":       {head("1", "Content-Length: 4\r\nContent-Length: 5\r\n\r\n", "body!"), []int{http.StatusBadRequest}},
+		"negative length":   {head("1", "Content-Length: -4\r\n\r\n"), []int{http.StatusBadRequest}},
+		"unknown encoding":  {head("1", "Transfer-Encoding: zip\r\n\r\n"), []int{http.StatusNotImplemented}},
+		"space in a name":   {head("1", "Transfer-Encoding : chunked\r\n\r\n"), []int{http.StatusBadRequest}},
+		"no request at all": {"hello\r\n\r\n", []int{http.StatusBadRequest}},
+		"header too large":  {head("1", "X: "+strings.Repeat("a", 2<<20)+"\r\n\r\n"), []int{http.StatusRequestHeaderFieldsTooLarge}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := newTarget(t, "t1", func(_ int, _ received, id string) (string, bool) { return whole(id, "ok"), false })
+			s := newSystem(t, x)
+			require.Equal(t, c.want, s.raw(c.text, len(c.want)))
+			require.Empty(t, x.requests())
+		})
+	}
+}
+
+// A request inside another's body stays a body, whichever length a lax reader
+// would take.
+func TestSmuggledRequestStaysABody(t *testing.T) {
+	x := newTarget(t, "t1", func(_ int, _ received, id string) (string, bool) { return whole(id, "ok"), false })
+	s := newSystem(t, x)
+	inner := "GET /plain/secret HTTP/1.1\r\nHost: example\r\n" + ownheaders.ID + ": 2\r\n\r\n"
+	chunked := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(inner), inner)
+	require.Equal(t, []int{http.StatusOK}, s.raw(head("1", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n", chunked), 1))
+	seen := x.requests()
+	require.Len(t, seen, 1)
+	require.Equal(t, inner, seen[0].Body)
+}
+
+func TestRequestsOnOneConnectionAreAnsweredInOrder(t *testing.T) {
+	x := newTarget(t, "t1", func(_ int, _ received, id string) (string, bool) { return whole(id, "ok"), false })
+	s := newSystem(t, x)
+	two := head("1", "Content-Length: 1\r\n\r\n", "a") + head("2", "Transfer-Encoding: chunked\r\n\r\n", "1\r\nb\r\n0\r\n\r\n")
+	require.Equal(t, []int{http.StatusOK, http.StatusOK}, s.raw(two, 2))
+	require.Equal(t, "a", x.requests()[0].Body)
+	require.Equal(t, "b", x.requests()[1].Body)
+}
+
+func TestWithoutAConfigurationRequestsComeBackLater(t *testing.T) {
+	s := newSystem(t)
+	s.host.table.Store(nil)
+	got := s.post("/plain/", "", ownheaders.ID, "1")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.NotEmpty(t, got.header.Get("Retry-After"))
+}
