--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -112,6 +112,21 @@
 	return t, ok
 }
 
+// Near returns the targets in the data centre of a target, without itself.
+func (r *Registry) Near(id string) []Listed {
+	t := r.targets[id]
+	if t == nil {
+		return nil
+	}
+	var list []Listed
+	for _, x := range r.targets {
+		if x != t && x.DataCentre == t.DataCentre {
+			list = append(list, x.Listed)
+		}
+	}
+	return list
+}
+
 // Size is the number of targets.
 func (r *Registry) Size() int { return len(r.targets) }
 
--- a/daemon/entry/reach.go
+++ b/daemon/entry/reach.go
@@ -133,7 +133,9 @@
 			r.reached(target, tries)
 			return
 		}
-		r.missed(target, err)
+		if r.missed(target, err) {
+			r.suspect(target)
+		}
 		if !r.host.setReachable(target, false) {
 			r.forget(target)
 			return
@@ -146,18 +148,30 @@
 	}
 }
 
-// missed notes a probe that did not get through; the first ends the requests at
-// the target.
-func (r *reach) missed(target string, err error) {
+// suspect probes the targets beside one that was found unreachable: a cut mostly
+// takes a whole data centre, and each target found by a request costs that request.
+func (r *reach) suspect(target string) {
+	r.host.mu.Lock()
+	near := r.host.registry.Near(target)
+	r.host.mu.Unlock()
+	for _, x := range near {
+		r.lost(x.ID, x.Address)
+	}
+}
+
+// missed notes a probe that did not get through; the first, for which it returns
+// true, ends the requests at the target.
+func (r *reach) missed(target string, err error) (first bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := r.of(target)
 	if l.broken {
-		return
+		return false
 	}
 	l.broken = true
 	close(l.cut)
 	r.host.Log.Warn("target unreachable", "target", target, "error", err.Error())
+	return true
 }
 
 // reached notes a probe that got through.
--- a/daemon/entry/reach_test.go
+++ b/daemon/entry/reach_test.go
@@ -60,6 +60,26 @@
 	})
 }
 
+func TestTargetsBesideAnUnreachableOneAreFoundAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &lineDialer{}
+		d.cut.Store(true)
+		h := newReachHost(d)
+		h.registry.Set(balance.Listed{ID: "t2", Service: "s", Address: "b"})
+		h.registry.Set(balance.Listed{ID: "far", Service: "s", Address: "c", DataCentre: "other"})
+		h.reach.lost("t1", "a")
+		time.Sleep(2*probeTimeout + time.Millisecond)
+		h.mu.Lock()
+		beside, _ := h.registry.Target("t2")
+		far, _ := h.registry.Target("far")
+		require.True(t, beside.Unreachable)
+		require.False(t, far.Unreachable)
+		h.mu.Unlock()
+		d.cut.Store(false)
+		time.Sleep(time.Second)
+	})
+}
+
 // A target that leaves the list while it is behind a cut, and comes back to it, is
 // probed anew.
 func TestTargetThatIsListedAgainBehindTheSameCut(t *testing.T) {
--- a/daemon/history/server.go
+++ b/daemon/history/server.go
@@ -29,6 +29,10 @@
 	log    *wal.Log
 	logger *log.Logger
 
+	// adopting is held while a map goes to disk and then into use, so that the disk
+	// never holds an older one than what was fenced.
+	adopting sync.Mutex
+
 	mu       sync.Mutex
 	ledger   *ledger.Ledger
 	slots    *placement.Map
@@ -80,10 +84,9 @@
 // Adopt takes a newer slot map, on disk first: what a copy fenced stays fenced
 // over a restart without the platform.
 func (s *Server) Adopt(m *placement.Map) error {
-	s.mu.Lock()
-	old := s.slots
-	s.mu.Unlock()
-	if old != nil && old.Epoch >= m.Epoch {
+	s.adopting.Lock()
+	defer s.adopting.Unlock()
+	if old := s.Map(); old != nil && old.Epoch >= m.Epoch {
 		return nil
 	}
 	text, err := json.Marshal(m)
--- a/daemon/history/server_test.go
+++ b/daemon/history/server_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"io"
+	"sync"
 	"testing"
 
 	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/pistachioarch/pistachioarch/core/historypb"
@@ -122,3 +124,23 @@
 	require.Len(t, ask(s, readOf(s, m.Epoch, "kept", "2")).Chain, 1, "carried into the new segment")
 	require.Len(t, ask(s, readOf(s, m.Epoch, "kept", "3")).Chain, 1)
 }
+
+// Maps are adopted from the watch and from the keeper's own changes at once; disk
+// and memory keep the newest.
+func TestMapsAdoptedAtOnceLeaveTheNewestOnDisk(t *testing.T) {
+	dir := t.TempDir()
+	s := openServer(t, dir)
+	defer s.Close()
+	m := alone(t, s)
+	var all sync.WaitGroup
+	for i := range 50 {
+		next := m.Clone()
+		next.Epoch += uint64(i)
+		all.Go(func() { assert.NoError(t, s.Adopt(next)) })
+	}
+	all.Wait()
+	require.Equal(t, m.Epoch+49, s.Map().Epoch)
+	onDisk, err := loadMap(dir)
+	require.NoError(t, err)
+	require.Equal(t, m.Epoch+49, onDisk.Epoch)
+}
