entry: a caller that leaves is not held against the target

Cause: since timeouts count as failures of a target, a stream or body that ended because its caller left was counted as a timeout too.

--- a/daemon/entry/entry_test.go
+++ b/daemon/entry/entry_test.go
@@ -1,13 +1,17 @@
 package entry
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/pistachioarch/pistachioarch/core/balance"
+	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/wire/ownheaders"
 )
 
@@ -206,3 +210,16 @@
 	s := newSystem(t, x)
 	require.Equal(t, http.StatusGatewayTimeout, s.post("/short/", "", ownheaders.ID, "1").status)
 }
+
+func TestOnlyTimeoutsAndBreaksAreHeldAgainstATarget(t *testing.T) {
+	broken := failure.Unknown(failure.BadAnswer, "cut")
+	require.Equal(t, balance.Failed, outcomeOf(t.Context(), broken))
+	left, leave := context.WithCancel(t.Context())
+	timed, cancel := context.WithDeadlineCause(left, time.Now().Add(-time.Second), context.DeadlineExceeded)
+	defer cancel()
+	require.Equal(t, balance.Failed, outcomeOf(timed, broken))
+	require.Equal(t, failure.Timeout, endedBy(timed, broken.Kind))
+	leave()
+	require.Equal(t, balance.Abandoned, outcomeOf(left, broken))
+	require.Equal(t, failure.CallerGone, endedBy(left, broken.Kind))
+}
--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"hash/fnv"
 	"net/http"
 	"time"
@@ -171,13 +172,24 @@
 	return balance.Refused
 }
 
-func outcomeOf(ctx context.Context, f *failure.Failure) balance.Outcome {
+// endedBy is the kind of a failure under a context: what ended the context, where
+// it has ended. A caller that left says nothing of the target, a timeout does.
+func endedBy(ctx context.Context, kind failure.Kind) failure.Kind {
 	switch {
-	case f.Kind == failure.Timeout, ctx.Err() == nil && f.Kind != failure.CallerGone:
-		return balance.Failed
+	case ctx.Err() == nil:
+		return kind
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		return failure.Timeout
 	default:
+		return failure.CallerGone
+	}
+}
+
+func outcomeOf(ctx context.Context, f *failure.Failure) balance.Outcome {
+	if endedBy(ctx, f.Kind) == failure.CallerGone {
 		return balance.Abandoned
 	}
+	return balance.Failed
 }
 
 func (x *exchange) decode(status int, h map[string][]string) request.Answer {
--- a/daemon/entry/plain.go
+++ b/daemon/entry/plain.go
@@ -24,9 +24,7 @@
 	}
 	if err != nil {
 		f := failure.Unknown(failure.BadAnswer, "body of the answer of %s: %v", t.ID, err)
-		if ctx.Err() != nil {
-			f.Kind = failure.Timeout
-		}
+		f.Kind = endedBy(ctx, f.Kind)
 		x.done(t.ID, &resp.Answer, outcomeOf(ctx, f))
 		return x.repeatable(), f
 	}
--- a/daemon/entry/stream.go
+++ b/daemon/entry/stream.go
@@ -23,9 +23,7 @@
 			return false, x.finishStream(ctx, resp)
 		}
 		f := failure.Unknown(failure.BadAnswer, "stream of %s broke off: %v", t.ID, err)
-		if ctx.Err() != nil {
-			f.Kind = failure.Timeout
-		}
+		f.Kind = endedBy(ctx, f.Kind)
 		x.done(t.ID, &resp.Answer, outcomeOf(ctx, f))
 		_ = resp.Body.Close()
 		if !x.route.Resumable || ctx.Err() != nil || errors.Is(err, errCallerWrite) {
