entry hosts follow the platform through history hosts

Ruled out: longer watches (one that hangs from the end of an outage on must be given up within the contact time).

--- a/ctl/roles/always_test.go
+++ b/ctl/roles/always_test.go
@@ -46,6 +46,8 @@
 var (
 	once     sync.Once
 	outcomes = map[string]*outcome{}
+	// relayOutcomes are those of relayCases.
+	relayOutcomes = map[string]*relayOutcome{}
 	// onlyCase, from the environment, limits the table to one case.
 	onlyCase = os.Getenv("ROLES_CASE")
 )
@@ -60,9 +62,14 @@
 					outcomes[fc.name] = carryOut(t, fc)
 				}
 			}
+			for _, rc := range relayCases {
+				if onlyCase == "" || onlyCase == rc.name {
+					relayOutcomes[rc.name] = carryOutRelay(t, rc.inject)
+				}
+			}
 		})
 	})
-	require.NotEmpty(t, outcomes)
+	require.NotZero(t, len(outcomes)+len(relayOutcomes))
 }
 
 func carryOut(t *testing.T, fc faultCase) *outcome {
@@ -91,12 +98,7 @@
 	for n := range programs / 2 {
 		work.Go(func() { k.program(100+n, 3, later) })
 	}
-	time.Sleep(inForceWithin)
-	for i := range c.entries {
-		if got := k.send("", fmt.Sprintf("/v%d/", version), "", i, nil); got.Status != http.StatusOK {
-			o.behind = append(o.behind, fmt.Sprintf("%s: %d", c.entries[i].name, got.Status))
-		}
-	}
+	o.behind = c.behind(k, version)
 	time.Sleep(leaveWithin)
 	close(later)
 	work.Wait()
--- a/ctl/roles/cluster_test.go
+++ b/ctl/roles/cluster_test.go
@@ -21,6 +21,7 @@
 	"github.com/pistachioarch/pistachioarch/daemon/entry"
 	"github.com/pistachioarch/pistachioarch/daemon/history"
 	"github.com/pistachioarch/pistachioarch/daemon/quorum"
+	"github.com/pistachioarch/pistachioarch/daemon/relay"
 	"github.com/pistachioarch/pistachioarch/wire/objects"
 	"github.com/pistachioarch/pistachioarch/wire/ownheaders"
 	"github.com/pistachioarch/pistachioarch/wire/rpc"
@@ -134,6 +135,9 @@
 	h.listener = c.net.Listen(h.place + ":1")
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop, h.ended = cancel, make(chan struct{})
+	relays := relay.NewServer(ctx, c.store.At(h.place), logger(),
+		relay.Kind{Name: configKind, Wait: watchFor}, relay.Kind{Name: targetKind, Wait: watchFor}, relay.Kind{Name: history.Kind, Wait: history.MapWatch})
+	server.Relay(relays.Handle)
 	self := placement.Member{ID: server.Member(), Host: h.name, Address: h.place + ":1", DataCentre: dataCentre(h.name)}
 	keeper := history.NewKeeper(server, c.store.At(h.place), self, 1, c.retire, vnet.Dialer{Net: c.net, From: h.place}, logger())
 	go func() {
@@ -234,9 +238,10 @@
 	})
 	e.stop = cancel
 	store := c.store.At(e.place)
-	go objects.Follow(ctx, store, configKind, watchFor, entry.NewConfigView(e.host, configName, decodeTable))
-	go objects.Follow(ctx, store, targetKind, watchFor, entry.NewTargetView(e.host, decodeTarget))
-	go objects.Follow(ctx, store, history.Kind, history.MapWatch, e.past)
+	source := func() objects.Reader { return relay.NewSource(e.name, store, e.past, logger()) }
+	go objects.Follow(ctx, source(), configKind, watchFor, entry.NewConfigView(e.host, configName, decodeTable))
+	go objects.Follow(ctx, source(), targetKind, watchFor, entry.NewTargetView(e.host, decodeTarget))
+	go objects.Follow(ctx, source(), history.Kind, history.MapWatch, e.past)
 	go e.host.Run(ctx)
 	go e.past.Run(ctx)
 	e.host.Serve(c.net.Listen(e.place + ":80"))
--- /dev/null
+++ b/ctl/roles/relay_test.go
@@ -0,0 +1,106 @@
+package roles
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachioarch/pistachioarch/daemon/history"
+)
+
+// relayCases are the ways in which the path of a configuration to the entry hosts
+// can be broken while the configuration changes.
+var relayCases = []struct {
+	name   string
+	inject func(c *cluster)
+}{
+	{"calm", func(*cluster) {}},
+	{"entry hosts cut off from the platform", func(c *cluster) {
+		for _, e := range c.entries {
+			c.store.Cut(e.place, true)
+		}
+	}},
+	{"history hosts cut off from the platform", func(c *cluster) {
+		for _, h := range c.history {
+			c.store.Cut(h.place, true)
+		}
+	}},
+	{"all history hosts frozen", func(c *cluster) {
+		for _, h := range c.history {
+			c.net.Freeze(h.place, true)
+		}
+	}},
+	{"all history hosts killed", func(c *cluster) {
+		for i := range c.history {
+			c.killHistory(i)
+		}
+	}},
+	{"the platform forgets its history", func(c *cluster) { c.store.Forget() }},
+}
+
+// relayOutcome is what one case left behind.
+type relayOutcome struct {
+	// behind are the entry hosts that did not serve the newest route in time.
+	behind []string
+	// calls are the platform calls of the entry hosts in a calm minute.
+	calls int
+}
+
+func carryOutRelay(t *testing.T, inject func(c *cluster)) *relayOutcome {
+	c := newCluster(t)
+	defer c.close()
+	o := &relayOutcome{}
+	time.Sleep(2 * history.MapWatch)
+	before := c.entryCalls()
+	time.Sleep(time.Minute)
+	o.calls = c.entryCalls() - before
+	inject(c)
+	time.Sleep(50 * time.Millisecond)
+	k := newCaller(c)
+	defer k.client.CloseIdleConnections()
+	o.behind = c.behind(k, c.configure(9*time.Second))
+	return o
+}
+
+// entryCalls is the number of platform calls of all entry hosts so far.
+func (c *cluster) entryCalls() int {
+	n := 0
+	for _, e := range c.entries {
+		n += c.store.Calls(e.place)
+	}
+	return n
+}
+
+// behind waits until a version must be in force and returns the entry hosts at
+// which it is not.
+func (c *cluster) behind(k *caller, version uint64) []string {
+	time.Sleep(inForceWithin)
+	var list []string
+	for i, e := range c.entries {
+		if got := k.send("", fmt.Sprintf("/v%d/", version), "", i, nil); got.Status != http.StatusOK {
+			list = append(list, fmt.Sprintf("%s: %d", e.name, got.Status))
+		}
+	}
+	return list
+}
+
+func eachRelay(t *testing.T, check func(t *testing.T, o *relayOutcome)) {
+	all(t)
+	for _, rc := range relayCases {
+		if o := relayOutcomes[rc.name]; o != nil {
+			t.Run(rc.name, func(t *testing.T) { check(t, o) })
+		}
+	}
+}
+
+func TestConfigurationReachesEntryHostsWhateverRelays(t *testing.T) {
+	eachRelay(t, func(t *testing.T, o *relayOutcome) { require.Empty(t, o.behind) })
+}
+
+// Entry hosts cost the platform calls at their start only.
+func TestEntryHostsDoNotCallThePlatformWhileRelaysDo(t *testing.T) {
+	eachRelay(t, func(t *testing.T, o *relayOutcome) { require.Zero(t, o.calls) })
+}
--- a/ctl/standin/objects.go
+++ b/ctl/standin/objects.go
@@ -26,6 +26,7 @@
 	down     bool
 	cut      map[string]bool
 	loseNext int
+	calls    map[string]int // by place
 }
 
 type change struct {
@@ -36,7 +37,7 @@
 
 // NewObjects returns an empty store.
 func NewObjects() *Objects {
-	return &Objects{kinds: map[string]map[string]objects.Object{}, changed: make(chan struct{}), cut: map[string]bool{}}
+	return &Objects{kinds: map[string]map[string]objects.Object{}, changed: make(chan struct{}), cut: map[string]bool{}, calls: map[string]int{}}
 }
 
 // At is the store as the host at a place sees it.
@@ -58,6 +59,13 @@
 	s.wake()
 }
 
+// Calls is the number of calls from a place so far.
+func (s *Objects) Calls(place string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[place]
+}
+
 // LoseAnswers lets the next n writes be done and not answered.
 func (s *Objects) LoseAnswers(n int) {
 	s.mu.Lock()
@@ -125,8 +133,16 @@
 	place string
 }
 
-// enter waits for the call's latency and refuses it where the store is away.
+// enter counts a call, waits for its latency and refuses it where the store is away.
 func (v *objectsAt) enter(ctx context.Context) error {
+	v.s.mu.Lock()
+	v.s.calls[v.place]++
+	v.s.mu.Unlock()
+	return v.arrive(ctx)
+}
+
+// arrive is enter without the count, for a call that looks again.
+func (v *objectsAt) arrive(ctx context.Context) error {
 	select {
 	case <-time.After(objectLatency):
 	case <-ctx.Done():
@@ -213,8 +229,8 @@
 func (v *objectsAt) Watch(ctx context.Context, kind string, revision uint64, wait time.Duration) (objects.Changes, error) {
 	end := time.NewTimer(wait)
 	defer end.Stop()
-	for {
-		if err := v.enter(ctx); err != nil {
+	for look := v.enter; ; look = v.arrive {
+		if err := look(ctx); err != nil {
 			return objects.Changes{}, err
 		}
 		if revision < v.s.oldest {
--- a/daemon/cmd/pistachiod/entry.go
+++ b/daemon/cmd/pistachiod/entry.go
@@ -8,6 +8,7 @@
 	"github.com/pistachioarch/pistachioarch/daemon/entry"
 	"github.com/pistachioarch/pistachioarch/daemon/history"
 	"github.com/pistachioarch/pistachioarch/daemon/quorum"
+	"github.com/pistachioarch/pistachioarch/daemon/relay"
 	"github.com/pistachioarch/pistachioarch/daemon/settings"
 	"github.com/pistachioarch/pistachioarch/platform"
 	"github.com/pistachioarch/pistachioarch/wire/objects"
@@ -32,9 +33,10 @@
 	follow, stop := context.WithCancel(context.Background())
 	defer stop()
 	store := platform.NewStore(set.PlatformAddress)
-	go objects.Follow(follow, store, platform.ConfigKind, set.WatchFor(), entry.NewConfigView(host, platform.ConfigName, platform.Table))
-	go objects.Follow(follow, store, platform.TargetKind, set.WatchFor(), entry.NewTargetView(host, platform.Target))
-	go objects.Follow(follow, store, history.Kind, history.MapWatch, past)
+	source := func() objects.Reader { return relay.NewSource(set.Host, store, past, logger) }
+	go objects.Follow(follow, source(), platform.ConfigKind, set.WatchFor(), entry.NewConfigView(host, platform.ConfigName, platform.Table))
+	go objects.Follow(follow, source(), platform.TargetKind, set.WatchFor(), entry.NewTargetView(host, platform.Target))
+	go objects.Follow(follow, source(), history.Kind, history.MapWatch, past)
 	go host.Run(follow)
 	go past.Run(follow)
 	host.Serve(callers)
--- a/daemon/cmd/pistachiod/history.go
+++ b/daemon/cmd/pistachiod/history.go
@@ -8,6 +8,7 @@
 
 	"github.com/pistachioarch/pistachioarch/core/placement"
 	"github.com/pistachioarch/pistachioarch/daemon/history"
+	"github.com/pistachioarch/pistachioarch/daemon/relay"
 	"github.com/pistachioarch/pistachioarch/daemon/settings"
 	"github.com/pistachioarch/pistachioarch/platform"
 	"github.com/pistachioarch/pistachioarch/wire/objects"
@@ -31,6 +32,11 @@
 	retirements := platform.NewRetirements(store)
 	self := placement.Member{ID: server.Member(), Host: set.Host, Address: set.HistoryListen(), DataCentre: set.DataCentre}
 	keeper := history.NewKeeper(server, store, self, set.FaultHosts, retirements, peerDialer(), logger)
+	relays := relay.NewServer(ctx, store, logger,
+		relay.Kind{Name: platform.ConfigKind, Wait: set.WatchFor()},
+		relay.Kind{Name: platform.TargetKind, Wait: set.WatchFor()},
+		relay.Kind{Name: history.Kind, Wait: history.MapWatch})
+	server.Relay(relays.Handle)
 	go objects.Follow(ctx, store, platform.RetirementKind, retirementWatch, retirements)
 	go keeper.Run(ctx)
 	go server.Sweep(ctx.Done())
--- a/daemon/entry/view.go
+++ b/daemon/entry/view.go
@@ -31,9 +31,9 @@
 }
 
 // Changed implements objects.Listener.
-func (v *ConfigView) Changed(events []objects.Event) {
+func (v *ConfigView) Changed(changes objects.Changes) {
 	v.back()
-	for _, e := range events {
+	for _, e := range changes.Events {
 		if !e.Removed {
 			v.take(e.Object)
 		}
@@ -112,8 +112,8 @@
 }
 
 // Changed implements objects.Listener.
-func (v *TargetView) Changed(events []objects.Event) {
-	for _, e := range events {
+func (v *TargetView) Changed(changes objects.Changes) {
+	for _, e := range changes.Events {
 		if !e.Removed {
 			v.set(e.Object)
 			continue
--- a/daemon/history/keeper.go
+++ b/daemon/history/keeper.go
@@ -96,8 +96,8 @@
 }
 
 // Changed implements objects.Listener.
-func (k *Keeper) Changed(events []objects.Event) {
-	for _, e := range events {
+func (k *Keeper) Changed(changes objects.Changes) {
+	for _, e := range changes.Events {
 		if !e.Removed {
 			k.take(e.Object)
 		}
--- a/daemon/history/server.go
+++ b/daemon/history/server.go
@@ -12,6 +12,7 @@
 	"github.com/pistachioarch/pistachioarch/core/ledger"
 	"github.com/pistachioarch/pistachioarch/core/placement"
 	"github.com/pistachioarch/pistachioarch/daemon/wal"
+	"github.com/pistachioarch/pistachioarch/wire/rpc"
 )
 
 const (
@@ -39,11 +40,13 @@
 	mapBytes []byte
 	// refresh is called when a sender knows a newer map.
 	refresh func()
+	// relay answers what entry hosts ask of the platform.
+	relay rpc.Handler
 }
 
 // OpenServer replays the journal in dir.
 func OpenServer(dir string, logger *log.Logger) (*Server, error) {
-	s := &Server{dir: dir, logger: logger, ledger: ledger.New(), refresh: func() {}}
+	s := &Server{dir: dir, logger: logger, ledger: ledger.New(), refresh: func() {}, relay: noRelay}
 	records := 0
 	var damage []wal.Damage
 	var err error
@@ -71,6 +74,15 @@
 	return s, nil
 }
 
+// noRelay refuses what is asked of the platform.
+func noRelay(_ *historypb.Request, answer func(*historypb.Reply)) {
+	answer(&historypb.Reply{Status: historypb.Status_STATUS_UNAVAILABLE})
+}
+
+// Relay sets what answers the requests about the platform's objects, before the
+// server takes any.
+func (s *Server) Relay(handle rpc.Handler) { s.relay = handle }
+
 // Member is the identity of the disk.
 func (s *Server) Member() string { return s.member }
 
@@ -127,6 +139,8 @@
 		answer(s.read(call.Read))
 	case *historypb.Request_Copy:
 		s.copy(req.Slot, call.Copy, answer)
+	case *historypb.Request_ListObjects, *historypb.Request_WatchObjects:
+		s.relay(req, answer)
 	default:
 		answer(&historypb.Reply{Status: historypb.Status_STATUS_OK})
 	}
@@ -137,8 +151,9 @@
 	if req.Member != s.member {
 		return &historypb.Reply{Status: historypb.Status_STATUS_WRONG_MEMBER}
 	}
-	if _, ping := req.Call.(*historypb.Request_Ping); ping {
-		return nil
+	switch req.Call.(type) {
+	case *historypb.Request_Ping, *historypb.Request_ListObjects, *historypb.Request_WatchObjects:
+		return nil // they concern no slot
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/daemon/quorum/quorum.go
+++ b/daemon/quorum/quorum.go
@@ -105,8 +105,8 @@
 }
 
 // Changed implements objects.Listener.
-func (c *Client) Changed(events []objects.Event) {
-	for _, e := range events {
+func (c *Client) Changed(changes objects.Changes) {
+	for _, e := range changes.Events {
 		if !e.Removed {
 			c.adopt(e.Object.Spec, "platform")
 		}
--- /dev/null
+++ b/daemon/relay/server.go
@@ -0,0 +1,75 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/pistachioarch/pistachioarch/core/historypb"
+	"github.com/pistachioarch/pistachioarch/wire/objects"
+)
+
+// Server answers entry hosts from what it follows of the platform. Safe for
+// concurrent use.
+type Server struct {
+	views map[string]*view // by kind
+}
+
+// Kind is a kind of objects to relay, and how long one watch of the platform for it
+// waits: each is a priced call, and one that hangs delays changes by that time.
+type Kind struct {
+	Name string
+	Wait time.Duration
+}
+
+// NewServer returns a server for some kinds of the store's objects. Nothing is
+// followed after the context ends.
+func NewServer(ctx context.Context, store objects.Reader, logger *log.Logger, kinds ...Kind) *Server {
+	s := &Server{views: make(map[string]*view, len(kinds))}
+	for _, kind := range kinds {
+		s.views[kind.Name] = newView(ctx, store, kind, logger)
+	}
+	return s
+}
+
+// Handle answers ListObjects and WatchObjects; it is an rpc.Handler.
+func (s *Server) Handle(req *historypb.Request, answer func(*historypb.Reply)) {
+	switch call := req.Call.(type) {
+	case *historypb.Request_ListObjects:
+		s.list(call.ListObjects, answer)
+	case *historypb.Request_WatchObjects:
+		s.watch(call.WatchObjects, answer)
+	default:
+		answer(refusal(historypb.Status_STATUS_UNAVAILABLE))
+	}
+}
+
+func refusal(status historypb.Status) *historypb.Reply { return &historypb.Reply{Status: status} }
+
+func (s *Server) list(call *historypb.ListObjects, answer func(*historypb.Reply)) {
+	v := s.views[call.Kind]
+	if v == nil {
+		answer(refusal(historypb.Status_STATUS_UNAVAILABLE))
+		return
+	}
+	v.answer(func() (*historypb.Reply, <-chan struct{}) { return v.list(call.Revision) }, openWait, answer)
+}
+
+const (
+	// openWait bounds the wait for a view that was not followed before: some answers
+	// of the platform (4 ms), and less than a sender takes for silence (400 ms).
+	openWait = 300 * time.Millisecond
+	// maxWait bounds the wait that a sender may ask for.
+	maxWait = 30 * time.Second
+)
+
+func (s *Server) watch(call *historypb.WatchObjects, answer func(*historypb.Reply)) {
+	v := s.views[call.Kind]
+	if v == nil {
+		answer(refusal(historypb.Status_STATUS_UNAVAILABLE))
+		return
+	}
+	wait := min(time.Duration(call.WaitMs)*time.Millisecond, maxWait)
+	v.answer(func() (*historypb.Reply, <-chan struct{}) { return v.changes(call.Revision) }, wait, answer)
+}
--- a/wire/objects/follow.go
+++ b/wire/objects/follow.go
@@ -21,8 +21,8 @@
 type Listener interface {
 	// Replaced gives all objects; those not among them are gone.
 	Replaced(Snapshot)
-	// Changed gives the changes since, in order.
-	Changed([]Event)
+	// Changed gives the changes since, in order; there may be none.
+	Changed(Changes)
 	// Lost tells that the store does not answer; the next call to Replaced or
 	// Changed tells that it does again.
 	Lost(error)
@@ -32,7 +32,7 @@
 // at most: every watch is a priced call, and one that hangs unnoticed delays what
 // it would have told by that time. A watch that breaks goes on from where it was;
 // one whose history is gone begins with a new list.
-func Follow(ctx context.Context, store Store, kind string, wait time.Duration, to Listener) {
+func Follow(ctx context.Context, store Reader, kind string, wait time.Duration, to Listener) {
 	pause := newPause()
 	for ctx.Err() == nil {
 		snapshot, err := store.List(ctx, kind)
@@ -48,7 +48,7 @@
 }
 
 // watch returns when a new list is needed.
-func watch(ctx context.Context, store Store, kind string, wait time.Duration, revision uint64, to Listener) {
+func watch(ctx context.Context, store Reader, kind string, wait time.Duration, revision uint64, to Listener) {
 	pause := newPause()
 	for ctx.Err() == nil {
 		changes, err := store.Watch(ctx, kind, revision, wait)
@@ -62,7 +62,7 @@
 		}
 		pause.Reset()
 		revision = changes.Revision
-		to.Changed(changes.Events)
+		to.Changed(changes)
 	}
 }
 
--- a/wire/objects/objects.go
+++ b/wire/objects/objects.go
@@ -37,14 +37,19 @@
 	Revision uint64
 }
 
+// Reader reads kinds of objects of the platform's store.
+type Reader interface {
+	List(ctx context.Context, kind string) (Snapshot, error)
+	// Watch waits up to wait for changes after a revision; it may return none.
+	Watch(ctx context.Context, kind string, revision uint64, wait time.Duration) (Changes, error)
+}
+
 // Store is the platform's object store.
 type Store interface {
+	Reader
 	Get(ctx context.Context, kind, name string) (Object, error)
 	Create(ctx context.Context, kind, name string, spec []byte) (Object, error)
 	// Update replaces the spec if the object is still at the revision.
 	Update(ctx context.Context, kind, name string, revision uint64, spec []byte) (Object, error)
 	UpdateStatus(ctx context.Context, kind, name string, status []byte) error
-	List(ctx context.Context, kind string) (Snapshot, error)
-	// Watch waits up to wait for changes after a revision; it may return none.
-	Watch(ctx context.Context, kind string, revision uint64, wait time.Duration) (Changes, error)
 }
--- a/wire/rpc/client.go
+++ b/wire/rpc/client.go
@@ -51,11 +51,17 @@
 // Call sends a request and waits for its reply. Any error means that the member
 // may or may not have acted.
 func (c *Client) Call(ctx context.Context, req *historypb.Request) (*historypb.Reply, error) {
+	return c.CallWaiting(ctx, req, 0)
+}
+
+// CallWaiting is Call for a request that the member may answer as late as after
+// wait.
+func (c *Client) CallWaiting(ctx context.Context, req *historypb.Request, wait time.Duration) (*historypb.Reply, error) {
 	l, err := c.connected(ctx)
 	if err != nil {
 		return nil, err
 	}
-	return l.call(ctx, req)
+	return l.call(ctx, req, wait+silenceLimit)
 }
 
 // Close ends the connection; later calls fail.
@@ -190,7 +196,8 @@
 	}
 }
 
-func (l *link) call(ctx context.Context, req *historypb.Request) (*historypb.Reply, error) {
+// call waits for the reply; the link is closed if nothing arrives on it for limit.
+func (l *link) call(ctx context.Context, req *historypb.Request, limit time.Duration) (*historypb.Reply, error) {
 	answer := make(chan *historypb.Reply, 1)
 	sent := time.Now()
 	l.mu.Lock()
@@ -201,7 +208,7 @@
 	if err := l.write(ctx, req); err != nil {
 		return nil, err
 	}
-	silence := time.NewTimer(silenceLimit)
+	silence := time.NewTimer(limit)
 	defer silence.Stop()
 	for {
 		select {
@@ -213,11 +220,11 @@
 			l.forget(req.Id)
 			return nil, failure.Wrap(ctx.Err(), failure.PeerUnavailable, "call")
 		case <-silence.C:
-			if left := silenceLimit - time.Since(l.lastHeard(sent)); left > 0 {
+			if left := limit - time.Since(l.lastHeard(sent)); left > 0 {
 				silence.Reset(left)
 				continue
 			}
-			l.close(failure.New(failure.PeerUnavailable, "no answer within %s", silenceLimit))
+			l.close(failure.New(failure.PeerUnavailable, "no answer within %s", limit))
 		}
 	}
 }
