entry: a host that alone is cut off sends callers on at once

A host is alone if a history host of its own data centre does not answer either. Ruled out: waiting in no case (a whole data centre's retries would meet its hosts again).

--- a/daemon/entry/host.go
+++ b/daemon/entry/host.go
@@ -176,11 +176,12 @@
 const rotationTime = 2 * time.Second
 
 // comeBack is when a caller that history hosts cannot serve should try again: at
-// once if this host is in touch with them, otherwise when callers are sent to
-// other hosts.
+// once if this host is in touch with them or alone out of touch, since another
+// host gets the retry; if its data centre is cut off, when callers are sent to
+// other data centres.
 func (h *Host) comeBack() time.Duration {
 	isolated := h.History.Isolated()
-	if isolated == 0 {
+	if isolated == 0 || h.History.Alone() {
 		return retryLater
 	}
 	return max(retryLater, rotationTime-isolated)
