balance: a target on trial whose request ends without a verdict is tried again

Cause: found by reading: a breaker lets one trial through and stays shut until it ends well or badly. A trial that ended because its caller left, or because the target was full, told it neither, so that the target was never picked again by that host. The test fails without the change. Also: a dump of what is known of each target.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -161,6 +161,11 @@
 	Abandoned
 )
 
+var outcomeNames = [...]string{Served: "served", Refused: "refused", Failed: "failed", Abandoned: "abandoned"}
+
+// String implements fmt.Stringer.
+func (o Outcome) String() string { return outcomeNames[o] }
+
 // Done notes the end of a request.
 func (t *Target) Done(o Outcome, now time.Duration) {
 	t.inFlight--
@@ -174,6 +179,8 @@
 		t.breaker.Failure(now)
 		t.faults = t.fade(now) + 1
 		t.faultsAt = now
+	default:
+		t.breaker.Inconclusive()
 	}
 }
 
@@ -244,7 +251,7 @@
 	var bestCost float64
 	candidates := 0
 	for _, t := range r.services[q.Service] {
-		if t.Draining || t.Unreachable || q.Exclude[t.ID] || t.breaker.Open(now) {
+		if q.Exclude[t.ID] || t.obstacle(now) != "" {
 			continue
 		}
 		candidates++
--- /dev/null
+++ b/core/balance/breaker_test.go
@@ -0,0 +1,37 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A target that failed is tried with one request. That request may end without a
+// verdict: its caller leaves, or the target is full. The target must be tried again.
+func TestATrialWithoutAVerdictIsRepeated(t *testing.T) {
+	for _, outcome := range []Outcome{Abandoned, Refused} {
+		t.Run(outcome.String(), func(t *testing.T) {
+			r := NewRegistry("dc")
+			r.Set(Listed{ID: "a", Service: "s", Places: 4, DataCentre: "dc"})
+			now := time.Second
+			pick := func() bool {
+				c, ok := r.Pick(Query{Service: "s"}, now)
+				if ok {
+					c.Sent(nil, now)
+				}
+				return ok
+			}
+			for range 3 {
+				require.True(t, pick())
+				r.targets["a"].Done(Failed, now)
+			}
+			require.False(t, pick(), "the breaker is open")
+			now += breakerMax
+			require.True(t, pick(), "one trial")
+			require.False(t, pick(), "one at a time")
+			r.targets["a"].Done(outcome, now)
+			require.True(t, pick())
+		})
+	}
+}
--- /dev/null
+++ b/core/balance/state.go
@@ -0,0 +1,65 @@
+package balance
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// State is what a Registry knows of one target, for operators.
+type State struct {
+	Target     string `json:"target"`
+	Service    string `json:"service"`
+	DataCentre string `json:"data_centre"`
+	Draining   bool   `json:"draining"`
+	// Usable is false while the target is not picked; Why says what keeps it out.
+	Usable bool   `json:"usable"`
+	Why    string `json:"why,omitempty"`
+	// InFlight counts this host's own requests; Load is the estimate of all.
+	InFlight int `json:"in_flight"`
+	Load     int `json:"load"`
+	Places   int `json:"places"`
+	// ReportAgeMs is the age of the target's own word of its load; -1 if none.
+	ReportAgeMs int64 `json:"report_age_ms"`
+	// Faults is the recent failures, fading.
+	Faults float64 `json:"faults"`
+	// CachedParts is the number of prompt parts that it is believed to have read.
+	CachedParts int `json:"cached_parts"`
+}
+
+// State returns what is known of all targets, in order of service and id.
+func (r *Registry) State(now time.Duration) []State {
+	list := make([]State, 0, len(r.targets))
+	for _, t := range r.targets {
+		list = append(list, t.state(now))
+	}
+	slices.SortFunc(list, func(a, b State) int {
+		return strings.Compare(a.Service+"/"+a.Target, b.Service+"/"+b.Target)
+	})
+	return list
+}
+
+func (t *Target) state(now time.Duration) State {
+	s := State{
+		Target: t.ID, Service: t.Service, DataCentre: t.DataCentre, Draining: t.Draining, Why: t.obstacle(now),
+		InFlight: t.inFlight, Load: t.Load(), Places: t.Places, ReportAgeMs: -1, Faults: t.fade(now), CachedParts: len(t.cache.used),
+	}
+	s.Usable = s.Why == ""
+	if t.hasReport {
+		s.ReportAgeMs = (now - t.reportedAt).Milliseconds()
+	}
+	return s
+}
+
+// obstacle is what keeps the target from being picked; empty if nothing does.
+func (t *Target) obstacle(now time.Duration) string {
+	switch {
+	case t.Draining:
+		return "draining"
+	case t.Unreachable:
+		return "unreachable"
+	case t.breaker.Open(now):
+		return "failing"
+	}
+	return ""
+}
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -24,6 +24,11 @@
 	Streaming
 )
 
+var kindNames = [...]string{Idempotent: "idempotent", AtMostOnce: "at_most_once", Streaming: "streaming"}
+
+// String implements fmt.Stringer.
+func (k Kind) String() string { return kindNames[k] }
+
 // Share is one service of a split route.
 type Share struct {
 	Service string
@@ -120,6 +125,15 @@
 	return s, ok
 }
 
+// Routes returns all routes, in no order.
+func (t *Table) Routes() []*Route {
+	var list []*Route
+	for _, routes := range t.hosts {
+		list = append(list, routes...)
+	}
+	return list
+}
+
 // Match returns the route of the host with the longest prefix of path.
 func (t *Table) Match(host, path string) (*Route, bool) {
 	host, _, _ = strings.Cut(strings.ToLower(host), ":")
--- a/core/sched/breaker.go
+++ b/core/sched/breaker.go
@@ -39,6 +39,9 @@
 // Success closes the breaker.
 func (b *Breaker) Success() { *b = Breaker{Base: b.Base, Max: b.Max} }
 
+// Inconclusive ends a call that says nothing of the target: a trial may follow.
+func (b *Breaker) Inconclusive() { b.trial = false }
+
 // Failure counts one failure at now.
 func (b *Breaker) Failure(now time.Duration) {
 	b.trial = false
