roles: metrics, a dump of the state, and settings that are read anew

An on-call engineer had logs only. Each role now serves counters and latency histograms as text and its state as JSON on the metrics port, writes the state on SIGUSR1, and takes changed settings on SIGHUP or when the file changes, saying what needs a restart.

--- a/ctl/roles/cluster_test.go
+++ b/ctl/roles/cluster_test.go
@@ -129,7 +129,7 @@
 func dataCentre(name string) string { return "dc" + name[1:] }
 
 func (c *cluster) startHistory(h *historyHost) {
-	server, err := history.OpenServer(h.dir, logger())
+	server, err := history.OpenServer(h.dir, logger(), nil)
 	require.NoError(c.t, err)
 	h.server = server
 	h.listener = c.net.Listen(h.place + ":1")
@@ -232,7 +232,7 @@
 func (c *cluster) startEntry(e *entryHost) {
 	ctx, cancel := context.WithCancel(context.Background())
 	dialer := vnet.Dialer{Net: c.net, From: e.place}
-	e.past = quorum.New(dialer, dataCentre(e.name), logger())
+	e.past = quorum.New(dialer, dataCentre(e.name), logger(), nil)
 	e.host = entry.New(entry.Options{
 		Headers: ownheaders.Headers{}, History: e.past, Dialer: dialer, DataCentre: dataCentre(e.name), ReadyPath: "/ready", Log: logger(),
 	})
--- a/daemon/cmd/pistachiod/entry.go
+++ b/daemon/cmd/pistachiod/entry.go
@@ -3,10 +3,9 @@
 import (
 	"context"
 
-	"github.com/charmbracelet/log"
-
 	"github.com/pistachioarch/pistachioarch/daemon/entry"
 	"github.com/pistachioarch/pistachioarch/daemon/history"
+	"github.com/pistachioarch/pistachioarch/daemon/meter"
 	"github.com/pistachioarch/pistachioarch/daemon/quorum"
 	"github.com/pistachioarch/pistachioarch/daemon/relay"
 	"github.com/pistachioarch/pistachioarch/daemon/settings"
@@ -14,14 +13,16 @@
 	"github.com/pistachioarch/pistachioarch/wire/objects"
 )
 
-func runEntry(ctx context.Context, set *settings.Role, logger *log.Logger) error {
+func runEntry(ctx context.Context, set *settings.Role, o *observer) error {
+	logger := o.logger
 	dialer := peerDialer()
-	past := quorum.New(dialer, set.DataCentre, logger)
+	past := quorum.New(dialer, set.DataCentre, logger, o.meter)
 	host := entry.New(entry.Options{
 		Headers: platform.Headers{}, History: past, Dialer: dialer,
 		DataCentre: set.DataCentre, MemoryBytes: set.MemoryBytes, Descriptors: set.Descriptors,
-		ReadyPath: platform.ReadyPath, Log: logger,
+		ReadyPath: platform.ReadyPath, Log: logger, Meter: o.meter,
 	})
+	o.state = func() any { return host.State() }
 	callers, err := listen(set.CallerListen)
 	if err != nil {
 		return err
@@ -32,7 +33,8 @@
 	}
 	follow, stop := context.WithCancel(context.Background())
 	defer stop()
-	store := platform.NewStore(set.PlatformAddress)
+	store := meter.Store(platform.NewStore(set.PlatformAddress), o.meter)
+	o.serve(follow, set.MetricsListen())
 	source := func() objects.Reader { return relay.NewSource(set.Host, store, past, logger) }
 	go objects.Follow(follow, source(), platform.ConfigKind, set.WatchFor(), entry.NewConfigView(host, platform.ConfigName, platform.Table))
 	go objects.Follow(follow, source(), platform.TargetKind, set.WatchFor(), entry.NewTargetView(host, platform.Target))
--- a/daemon/cmd/pistachiod/history.go
+++ b/daemon/cmd/pistachiod/history.go
@@ -4,10 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/charmbracelet/log"
-
 	"github.com/pistachioarch/pistachioarch/core/placement"
 	"github.com/pistachioarch/pistachioarch/daemon/history"
+	"github.com/pistachioarch/pistachioarch/daemon/meter"
 	"github.com/pistachioarch/pistachioarch/daemon/relay"
 	"github.com/pistachioarch/pistachioarch/daemon/settings"
 	"github.com/pistachioarch/pistachioarch/platform"
@@ -19,8 +18,9 @@
 // the emptying of a host, which takes a few seconds itself.
 const retirementWatch = 6 * time.Second
 
-func runHistory(ctx context.Context, set *settings.Role, logger *log.Logger) error {
-	server, err := history.OpenServer(set.DataFolder, logger)
+func runHistory(ctx context.Context, set *settings.Role, o *observer) error {
+	logger := o.logger
+	server, err := history.OpenServer(set.DataFolder, logger, o.meter)
 	if err != nil {
 		return err
 	}
@@ -28,10 +28,12 @@
 	if err != nil {
 		return err
 	}
-	store := platform.NewStore(set.PlatformAddress)
+	store := meter.Store(platform.NewStore(set.PlatformAddress), o.meter)
 	retirements := platform.NewRetirements(store)
 	self := placement.Member{ID: server.Member(), Host: set.Host, Address: set.HistoryListen(), DataCentre: set.DataCentre}
 	keeper := history.NewKeeper(server, store, self, set.FaultHosts, retirements, peerDialer(), logger)
+	o.state = func() any { return keeper.State() }
+	o.serve(ctx, set.MetricsListen())
 	relays := relay.NewServer(ctx, store, logger,
 		relay.Kind{Name: platform.ConfigKind, Wait: set.WatchFor()},
 		relay.Kind{Name: platform.TargetKind, Wait: set.WatchFor()},
--- a/daemon/cmd/pistachiod/role.go
+++ b/daemon/cmd/pistachiod/role.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"net"
 	"os"
 	"os/signal"
@@ -16,12 +15,14 @@
 
 	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/daemon/logsink"
+	"github.com/pistachioarch/pistachioarch/daemon/meter"
 	"github.com/pistachioarch/pistachioarch/daemon/settings"
 	"github.com/pistachioarch/pistachioarch/platform"
 )
 
 // roleFunc runs a role until the context ends, then stops it within the grace time.
-type roleFunc func(ctx context.Context, set *settings.Role, logger *log.Logger) error
+// It sets the observer's state before it serves.
+type roleFunc func(ctx context.Context, set *settings.Role, o *observer) error
 
 var roles = map[string]roleFunc{"entry": runEntry, "history": runHistory}
 
@@ -48,7 +49,8 @@
 		}
 		return exitSettings
 	}
-	logger := log.NewWithOptions(logsink.New(os.Stdout), log.Options{Formatter: log.JSONFormatter, ReportTimestamp: true, TimeFormat: time.RFC3339Nano})
+	sink := logsink.New(os.Stdout)
+	logger := log.NewWithOptions(sink, log.Options{Formatter: log.JSONFormatter, ReportTimestamp: true, TimeFormat: time.RFC3339Nano})
 	path := opt.Settings
 	if path == "" {
 		path = platform.SettingsPath()
@@ -64,15 +66,17 @@
 		time.Sleep(logFlush)
 		return exitOK
 	}
-	if set.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(math.Floor(float64(set.MemoryBytes) * memoryShare)))
-	}
+	reload := &reloader{path: path, set: set, logger: logger}
+	reload.apply()
 	debug.SetGCPercent(gcPercent)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	signal.Ignore(syscall.SIGHUP)
+	go reload.run(ctx)
+	o := &observer{meter: meter.New(), sink: sink, logger: logger, state: func() any { return nil }}
+	o.gauges()
+	go o.dumpOnSignal(ctx)
 	logger.Info("started", "host", set.Host, "data_centre", set.DataCentre, "address", set.Address)
-	if err := role(ctx, set, logger); err != nil {
+	if err := role(ctx, set, o); err != nil {
 		logger.Error("cannot run", "type", string(failure.From(err).Kind), "error", err.Error())
 		time.Sleep(logFlush)
 		return exitFailure
--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -57,6 +57,7 @@
 		if !again || ctx.Err() != nil {
 			return worst
 		}
+		x.host.Meter.Count("sends", "repeated", string(failure.From(err).Kind))
 		x.host.Log.Info("request sent again", "request", x.call.ID, "target", t.ID, "sends", x.sends, "error", err.Error())
 		if x.sends >= x.route.Attempts {
 			return worst
@@ -114,6 +115,7 @@
 // done reports the end of a send to the registry.
 func (x *exchange) done(target string, o balance.Outcome) {
 	h := x.host
+	h.Meter.Count("sends", o.String())
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if t, ok := h.registry.Target(target); ok {
@@ -165,9 +167,11 @@
 // send sends the request to one target; a connection that cannot be made starts
 // probes of it.
 func (x *exchange) send(ctx context.Context, t balance.Listed, lastEvent string) (*targetpool.Response, error) {
+	sent := time.Now()
 	resp, err := x.host.pool.Do(ctx, x.outgoing(t, lastEvent), x.decode)
 	switch {
 	case err == nil:
+		x.host.Meter.Observe("target_head", time.Since(sent))
 		x.host.heard(t.ID, resp.Answer)
 	case failure.From(err).Ran == failure.RanNo && ctx.Err() == nil:
 		x.host.reach.lost(t.ID, t.Address)
--- a/daemon/entry/handle.go
+++ b/daemon/entry/handle.go
@@ -63,11 +63,15 @@
 // logAnswer says how a request that was answered by a target went.
 func (x *exchange) logAnswer() {
 	first, events := time.Duration(0), int64(0)
+	m := x.host.Meter
+	m.Count("requests", "answered")
+	m.Observe("request", time.Since(x.began))
 	if x.turn != nil {
 		events = x.turn.events
 	}
 	if !x.firstByte.IsZero() {
 		first = x.firstByte.Sub(x.began)
+		m.Observe("first_event", first)
 	}
 	x.host.Log.Info("request answered", "request", x.call.ID, "program", x.call.Program, "target", x.target, "sends", x.sends,
 		"first_ms", first.Milliseconds(), "after_ms", time.Since(x.began).Milliseconds(), "events", events)
@@ -141,6 +145,7 @@
 // fail gives the caller the final answer at once.
 func (x *exchange) fail(f *failure.Failure) {
 	status := statusOf(f)
+	x.host.Meter.Count("requests", "failed", string(f.Kind))
 	x.host.Log.Info("request failed",
 		"request", x.call.ID, "program", x.call.Program, "kind", string(f.Kind), "ran", string(f.Ran), "status", status,
 		"sends", x.sends, "target", x.target, "after_ms", time.Since(x.began).Milliseconds(), "detail", f.Detail)
--- a/daemon/entry/harness_test.go
+++ b/daemon/entry/harness_test.go
@@ -155,7 +155,7 @@
 // newSystem starts an entry host with the routes /plain/ (idempotent), /once/,
 // /turn/ (retained) and /quick/ (resumable), all to service "s".
 func newSystem(t *testing.T, targets ...*target) *system {
-	s := &system{t: t, past: quorum.New(&net.Dialer{}, "dc1", quietLog())}
+	s := &system{t: t, past: quorum.New(&net.Dialer{}, "dc1", quietLog(), nil)}
 	s.startHistory(3)
 	s.host = New(Options{Headers: ownheaders.Headers{}, History: s.past, Dialer: &net.Dialer{}, DataCentre: "dc1", ReadyPath: "/ready", Log: quietLog()})
 	engine := &routing.Engine{Places: 4, TokensPerEvent: 3}
@@ -183,7 +183,7 @@
 func (s *system) startHistory(n int) {
 	m := placement.New(1)
 	for i := range n {
-		server, err := history.OpenServer(s.t.TempDir(), quietLog())
+		server, err := history.OpenServer(s.t.TempDir(), quietLog(), nil)
 		require.NoError(s.t, err)
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(s.t, err)
--- a/daemon/entry/host.go
+++ b/daemon/entry/host.go
@@ -15,6 +15,7 @@
 	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/core/request"
 	"github.com/pistachioarch/pistachioarch/core/routing"
+	"github.com/pistachioarch/pistachioarch/daemon/meter"
 	"github.com/pistachioarch/pistachioarch/daemon/quorum"
 	"github.com/pistachioarch/pistachioarch/wire/targetpool"
 )
@@ -46,6 +47,8 @@
 	// ReadyPath is where the platform asks whether the host takes requests.
 	ReadyPath string
 	Log       *log.Logger
+	// Meter may be nil.
+	Meter *meter.Meter
 }
 
 // Host serves the callers of one entry host.
@@ -54,11 +57,13 @@
 	table atomic.Pointer[routing.Table]
 	// configured is closed once there is a table.
 	configured chan struct{}
-	server     atomic.Pointer[http.Server]
-	listener   net.Listener
-	pool       *targetpool.Pool
-	reach      *reach
-	start      time.Time
+	// configuredAt is when the table in force came, in nanoseconds of now.
+	configuredAt atomic.Int64
+	server       atomic.Pointer[http.Server]
+	listener     net.Listener
+	pool         *targetpool.Pool
+	reach        *reach
+	start        time.Time
 
 	mu        sync.Mutex
 	registry  *balance.Registry
@@ -80,6 +85,7 @@
 		admission:  balance.NewAdmission(o.MemoryBytes, o.Descriptors),
 	}
 	h.reach = newReach(h)
+	h.gauges()
 	return h
 }
 
--- a/daemon/entry/reach.go
+++ b/daemon/entry/reach.go
@@ -170,6 +170,7 @@
 	}
 	l.broken = true
 	close(l.cut)
+	r.host.Meter.Count("targets", "unreachable")
 	r.host.Log.Warn("target unreachable", "target", target, "error", err.Error())
 	return true
 }
--- /dev/null
+++ b/daemon/entry/state.go
@@ -0,0 +1,98 @@
+package entry
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pistachioarch/pistachioarch/core/balance"
+	"github.com/pistachioarch/pistachioarch/core/routing"
+	"github.com/pistachioarch/pistachioarch/daemon/quorum"
+)
+
+// gauges serves what the host holds.
+func (h *Host) gauges() {
+	h.Meter.Gauge("requests_active", func() int64 { return int64(h.active()) })
+	h.Meter.Gauge("targets_listed", func() int64 {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return int64(h.registry.Size())
+	})
+	h.Meter.Gauge("config_version", func() int64 { return int64(h.configVersion()) })
+	h.Meter.Gauge("config_age_s", func() int64 { return int64(h.configAge() / time.Second) })
+	h.Meter.Gauge("ready", func() int64 {
+		if h.Ready() {
+			return 1
+		}
+		return 0
+	})
+}
+
+func (h *Host) configVersion() uint64 {
+	if t := h.table.Load(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+// configAge is how long the configuration has been in force here.
+func (h *Host) configAge() time.Duration {
+	return h.now() - time.Duration(h.configuredAt.Load())
+}
+
+// State is a dump of the host for operators. It holds no content of requests.
+type State struct {
+	Ready         bool            `json:"ready"`
+	Draining      bool            `json:"draining"`
+	Active        int             `json:"requests_active"`
+	ActiveLimit   int             `json:"requests_limit"`
+	ConfigVersion uint64          `json:"config_version"`
+	ConfigAgeMs   int64           `json:"config_age_ms"`
+	Routes        []RouteState    `json:"routes"`
+	Targets       []balance.State `json:"targets"`
+	History       quorum.State    `json:"history"`
+}
+
+// RouteState is one route of the configuration in force.
+type RouteState struct {
+	Name      string   `json:"name"`
+	Host      string   `json:"host"`
+	Prefix    string   `json:"prefix"`
+	Kind      string   `json:"kind"`
+	Services  []string `json:"services"`
+	Attempts  int      `json:"attempts"`
+	TimeoutMs int64    `json:"timeout_ms"`
+	Priority  int      `json:"priority"`
+}
+
+// State returns a dump of the host.
+func (h *Host) State() State {
+	s := State{
+		Ready: h.Ready(), Draining: h.draining.Load(), ConfigVersion: h.configVersion(), ConfigAgeMs: h.configAge().Milliseconds(),
+		Routes: routesOf(h.table.Load()), History: h.History.State(),
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s.Active, s.ActiveLimit = h.admission.Active(), h.admission.Limit()
+	s.Targets = h.registry.State(h.now())
+	return s
+}
+
+func routesOf(t *routing.Table) []RouteState {
+	if t == nil {
+		return nil
+	}
+	list := make([]RouteState, 0, len(t.Routes()))
+	for _, r := range t.Routes() {
+		s := RouteState{
+			Name: r.Name, Host: r.Host, Prefix: r.Prefix, Kind: r.Kind.String(), Attempts: r.Attempts,
+			TimeoutMs: r.Timeout.Milliseconds(), Priority: r.Priority,
+		}
+		for _, share := range r.Services {
+			s.Services = append(s.Services, share.Service)
+		}
+		list = append(list, s)
+	}
+	slices.SortFunc(list, func(a, b RouteState) int { return strings.Compare(a.Host+a.Prefix, b.Host+b.Prefix) })
+	return list
+}
--- a/daemon/entry/stream.go
+++ b/daemon/entry/stream.go
@@ -89,6 +89,7 @@
 		if err != nil {
 			return balance.Listed{}, nil, nil, err
 		}
+		x.host.Meter.Count("streams", "resumed")
 		x.host.Log.Info("stream resumed", "request", x.call.ID, "target", t.ID, "after_event", last)
 		guarded, release := x.host.reach.guard(ctx, t.ID, t.Address)
 		resp, err := x.send(guarded, t, last)
--- a/daemon/entry/turn.go
+++ b/daemon/entry/turn.go
@@ -53,13 +53,14 @@
 // serveTurn reserves budget, rebuilds the prompt, and forwards the turn.
 func (x *exchange) serveTurn(ctx context.Context) error {
 	t := &turn{x: x, input: x.body}
-	if err := t.begin(ctx); err != nil {
+	err := t.begin(ctx)
+	x.host.Meter.Observe("turn_begin", time.Since(x.began))
+	if err != nil {
 		t.settle()
 		return err
 	}
 	x.turn = t
-	err := x.forward(ctx)
-	if err != nil {
+	if err = x.forward(ctx); err != nil {
 		t.settle()
 	}
 	return err
@@ -136,6 +137,8 @@
 
 // finish makes the turn and its budget use durable.
 func (t *turn) finish(ctx context.Context) error {
+	began := time.Now()
+	defer func() { t.x.host.Meter.Observe("turn_finish", time.Since(began)) }()
 	records := []*historypb.Record{t.settlement()}
 	if t.x.route.Retained {
 		content := append(append([]byte(nil), t.input...), t.output...)
@@ -163,6 +166,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), settlePatience)
 		defer cancel()
 		if err := h.History.Write(ctx, t.x.call.Program, t.x.retention(), t.settlement()); err != nil {
+			h.Meter.Count("budgets", "unsettled")
 			h.Log.Warn("budget not settled", "request", t.x.call.ID, "program", t.x.call.Program, "tokens", t.tokens(), "error", err.Error())
 		}
 	})
--- a/daemon/entry/view.go
+++ b/daemon/entry/view.go
@@ -77,6 +77,7 @@
 			return false
 		}
 		if h.table.CompareAndSwap(old, t) {
+			h.configuredAt.Store(int64(h.now()))
 			if old == nil {
 				close(h.configured)
 			}
--- a/daemon/history/keeper.go
+++ b/daemon/history/keeper.go
@@ -219,10 +219,12 @@
 	defer cancel()
 	o, err := k.store.Update(ctx, Kind, MapName, revision, text)
 	if err != nil {
+		k.server.meter.Count("slot_map", "not_changed")
 		k.logger.Info("slot map not changed", "change", what, "epoch", m.Epoch, "revision", revision, "error", err.Error())
 		k.refresh()
 		return
 	}
+	k.server.meter.Count("slot_map", "changed")
 	k.logger.Info("slot map changed", "change", what, "epoch", m.Epoch, "revision", o.Revision)
 	k.take(o)
 }
--- a/daemon/history/server.go
+++ b/daemon/history/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/pistachioarch/pistachioarch/core/historypb"
 	"github.com/pistachioarch/pistachioarch/core/ledger"
 	"github.com/pistachioarch/pistachioarch/core/placement"
+	"github.com/pistachioarch/pistachioarch/daemon/meter"
 	"github.com/pistachioarch/pistachioarch/daemon/wal"
 	"github.com/pistachioarch/pistachioarch/wire/rpc"
 )
@@ -29,6 +31,7 @@
 	dir    string
 	log    *wal.Log
 	logger *log.Logger
+	meter  *meter.Meter
 
 	// adopting is held while a map goes to disk and then into use, so that the disk
 	// never holds an older one than what was fenced.
@@ -44,9 +47,9 @@
 	relay rpc.Handler
 }
 
-// OpenServer replays the journal in dir.
-func OpenServer(dir string, logger *log.Logger) (*Server, error) {
-	s := &Server{dir: dir, logger: logger, ledger: ledger.New(), refresh: func() {}, relay: noRelay}
+// OpenServer replays the journal in dir; m may be nil.
+func OpenServer(dir string, logger *log.Logger, m *meter.Meter) (*Server, error) {
+	s := &Server{dir: dir, logger: logger, meter: m, ledger: ledger.New(), refresh: func() {}, relay: noRelay}
 	records := 0
 	var damage []wal.Damage
 	var err error
@@ -63,13 +66,14 @@
 	if s.member, err = loadMember(dir); err != nil {
 		return nil, err
 	}
-	m, err := loadMap(dir)
+	slots, err := loadMap(dir)
 	if err != nil {
 		return nil, err
 	}
-	if m != nil {
-		s.setMap(m)
+	if slots != nil {
+		s.setMap(slots)
 	}
+	s.gauges()
 	logger.Info("journal replayed", "member", s.member, "records", records, "programs", s.ledger.Programs())
 	return s, nil
 }
@@ -129,6 +133,7 @@
 // Handle answers one request; it is an rpc.Handler.
 func (s *Server) Handle(req *historypb.Request, answer func(*historypb.Reply)) {
 	if reply := s.refuse(req); reply != nil {
+		s.meter.Count("requests", "refused", strings.ToLower(strings.TrimPrefix(reply.Status.String(), "STATUS_")))
 		answer(reply)
 		return
 	}
@@ -193,12 +198,16 @@
 
 // Store makes records durable, then applies them.
 func (s *Server) Store(records []*historypb.Record, done wal.Done) {
+	began := time.Now()
 	s.log.Append(records, func(err error) {
 		if err != nil {
+			s.meter.Count("journal_writes", "failed")
 			s.logger.Error("journal write failed", "records", len(records), "error", err.Error())
 			done(err)
 			return
 		}
+		s.meter.Observe("journal_write", time.Since(began))
+		s.meter.Add(int64(len(records)), "records", "written")
 		s.mu.Lock()
 		for _, r := range records {
 			s.ledger.Apply(r)
@@ -209,6 +218,7 @@
 }
 
 func (s *Server) read(r *historypb.Read) *historypb.Reply {
+	s.meter.Count("reads")
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return &historypb.Reply{
--- a/daemon/history/server_test.go
+++ b/daemon/history/server_test.go
@@ -15,7 +15,7 @@
 )
 
 func openServer(t *testing.T, dir string) *Server {
-	s, err := OpenServer(dir, log.New(io.Discard))
+	s, err := OpenServer(dir, log.New(io.Discard), nil)
 	require.NoError(t, err)
 	return s
 }
--- a/daemon/quorum/health.go
+++ b/daemon/quorum/health.go
@@ -45,6 +45,7 @@
 		h.heard, h.failing = now, time.Time{}
 	case h.failing.IsZero():
 		h.failing = now
+		c.meter.Count("history_members", "lost")
 		c.logger.Warn("history member lost", "member", id, "error", err.Error())
 	}
 }
@@ -119,12 +120,7 @@
 	if m == nil || !m.Assigned() {
 		return
 	}
-	lost := 0
-	for i := range m.Slots {
-		if !c.servable(m, &m.Slots[i], now) {
-			lost++
-		}
-	}
+	lost := c.unservable(m, now)
 	switch {
 	case lost*2 <= len(m.Slots):
 		if !c.isolated.IsZero() {
--- a/daemon/quorum/quorum.go
+++ b/daemon/quorum/quorum.go
@@ -15,6 +15,7 @@
 	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/core/historypb"
 	"github.com/pistachioarch/pistachioarch/core/placement"
+	"github.com/pistachioarch/pistachioarch/daemon/meter"
 	"github.com/pistachioarch/pistachioarch/wire/objects"
 	"github.com/pistachioarch/pistachioarch/wire/rpc"
 )
@@ -24,6 +25,7 @@
 	dialer     rpc.Dialer
 	dataCentre string
 	logger     *log.Logger
+	meter      *meter.Meter
 
 	mu      sync.Mutex
 	slots   *placement.Map
@@ -33,9 +35,21 @@
 	isolated time.Time
 }
 
-// New returns a client without a slot map. Replicas of dataCentre are read first.
-func New(dialer rpc.Dialer, dataCentre string, logger *log.Logger) *Client {
-	return &Client{dialer: dialer, dataCentre: dataCentre, logger: logger, clients: map[string]*rpc.Client{}, health: map[string]*health{}}
+// New returns a client without a slot map. Replicas of dataCentre are read first; m
+// may be nil.
+func New(dialer rpc.Dialer, dataCentre string, logger *log.Logger, m *meter.Meter) *Client {
+	c := &Client{dialer: dialer, dataCentre: dataCentre, logger: logger, meter: m, clients: map[string]*rpc.Client{}, health: map[string]*health{}}
+	m.Gauge("slot_map_epoch", func() int64 { return int64(c.epoch()) })
+	m.Gauge("history_isolated_ms", func() int64 { return c.Isolated().Milliseconds() })
+	return c
+}
+
+// epoch is that of the slot map in use, 0 without one.
+func (c *Client) epoch() uint64 {
+	if m := c.current(); m != nil {
+		return m.Epoch
+	}
+	return 0
 }
 
 // Ready reports whether a slot map with replicas is known.
@@ -180,11 +194,14 @@
 	for _, r := range records {
 		r.Slot, r.Program, r.ExpiresMs = placement.SlotOf(program), program, expires
 	}
+	began := time.Now()
 	for {
 		err := c.writeOnce(ctx, records)
 		if err == nil {
+			c.meter.Observe("history_write", time.Since(began))
 			return nil
 		}
+		c.meter.Count("history_writes", "failed")
 		if !pause(ctx) {
 			return err
 		}
--- a/daemon/quorum/read.go
+++ b/daemon/quorum/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/core/historypb"
@@ -22,11 +23,14 @@
 // unless that is empty. It fails with UnknownTurn only if every place where the
 // turn could be was asked, and with HistoryUnavailable if not enough answered.
 func (c *Client) Read(ctx context.Context, program, turn string) (*Past, error) {
+	began := time.Now()
 	for {
 		past, err := c.readOnce(ctx, program, turn)
 		if err == nil || failure.Is(err, failure.UnknownTurn) {
+			c.meter.Observe("history_read", time.Since(began))
 			return past, err
 		}
+		c.meter.Count("history_reads", "failed")
 		if !pause(ctx) {
 			return nil, err
 		}
--- a/daemon/quorum/read_test.go
+++ b/daemon/quorum/read_test.go
@@ -50,7 +50,7 @@
 }
 
 func TestAHostIsAloneIfItsOwnDataCentreIsOutOfReachToo(t *testing.T) {
-	c := New(nil, "m1", log.New(io.Discard))
+	c := New(nil, "m1", log.New(io.Discard), nil)
 	c.slots = mapOf(4)
 	lost := failure.New(failure.PeerUnavailable, "no answer")
 	for _, id := range []string{"m0", "m2", "m3"} {
--- /dev/null
+++ b/daemon/quorum/state.go
@@ -0,0 +1,72 @@
+package quorum
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pistachioarch/pistachioarch/core/placement"
+)
+
+// State is what a Client knows of the history hosts, for operators.
+type State struct {
+	// Epoch is of the slot map in use; 0 without one.
+	Epoch uint64 `json:"epoch"`
+	// UnservableSlots is how many slots cannot be served as far as is known.
+	UnservableSlots int           `json:"unservable_slots"`
+	IsolatedMs      int64         `json:"isolated_ms"`
+	Members         []MemberState `json:"members"`
+}
+
+// MemberState is one history host's disk.
+type MemberState struct {
+	Member     string `json:"member"`
+	Host       string `json:"host"`
+	DataCentre string `json:"data_centre"`
+	Address    string `json:"address"`
+	// HeardMs is how long ago it last answered; -1 if it never did.
+	HeardMs int64 `json:"heard_ms"`
+	// FailingMs is since when it does not answer; 0 if it does.
+	FailingMs int64 `json:"failing_ms"`
+}
+
+// State returns a dump of the client.
+func (c *Client) State() State {
+	now := time.Now()
+	s := State{IsolatedMs: c.Isolated().Milliseconds()}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.slots
+	if m == nil {
+		return s
+	}
+	s.Epoch, s.UnservableSlots = m.Epoch, c.unservable(m, now)
+	for id, x := range m.Members {
+		s.Members = append(s.Members, c.memberState(id, x, now))
+	}
+	slices.SortFunc(s.Members, func(a, b MemberState) int { return strings.Compare(a.Host, b.Host) })
+	return s
+}
+
+func (c *Client) memberState(id string, m placement.Member, now time.Time) MemberState {
+	s := MemberState{Member: id, Host: m.Host, DataCentre: m.DataCentre, Address: m.Address, HeardMs: -1}
+	if h := c.health[id]; h != nil && !h.heard.IsZero() {
+		s.HeardMs = now.Sub(h.heard).Milliseconds()
+	}
+	s.FailingMs = c.failingFor(id, now).Milliseconds()
+	return s
+}
+
+// unservable counts the slots that cannot be served; the caller holds mu.
+func (c *Client) unservable(m *placement.Map, now time.Time) int {
+	if !m.Assigned() {
+		return len(m.Slots)
+	}
+	n := 0
+	for i := range m.Slots {
+		if !c.servable(m, &m.Slots[i], now) {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/daemon/settings/reload.go
@@ -0,0 +1,46 @@
+package settings
+
+import "time"
+
+// Reloaded is what a running role does with settings that were read anew.
+type Reloaded struct {
+	// Changed are the settings taken, Kept those that need a restart; as
+	// "section.key".
+	Changed, Kept []string
+}
+
+// Reload takes from next what can change while the role runs, and says what it
+// did. The other settings of r stay.
+func (r *Role) Reload(next *Role) Reloaded {
+	var out Reloaded
+	take(&out, "limits.memory_mb", &r.MemoryBytes, next.MemoryBytes)
+	take(&out, "log.level", &r.LogLevel, next.LogLevel)
+	keep(&out, "host.name", r.Host, next.Host)
+	keep(&out, "host.data_centre", r.DataCentre, next.DataCentre)
+	keep(&out, "host.data_folder", r.DataFolder, next.DataFolder)
+	keep(&out, "listen.address", r.Address, next.Address)
+	keep(&out, "listen.callers", r.CallerListen, next.CallerListen)
+	keep(&out, "listen.ready", r.ReadyListen, next.ReadyListen)
+	keep(&out, "listen.first_internal_port", r.HistoryPort, next.HistoryPort)
+	keep(&out, "listen.metrics_port", r.MetricsPort, next.MetricsPort)
+	keep(&out, "platform.address", r.PlatformAddress, next.PlatformAddress)
+	keep(&out, "limits.descriptors", r.Descriptors, next.Descriptors)
+	keep(&out, "faults.hosts", r.FaultHosts, next.FaultHosts)
+	keep(&out, "timing.grace_s", r.Grace, next.Grace)
+	keep(&out, "timing.contact_ms", r.Contact, next.Contact)
+	return out
+}
+
+func take[T string | int64](out *Reloaded, name string, now *T, next T) {
+	if *now == next {
+		return
+	}
+	*now = next
+	out.Changed = append(out.Changed, name)
+}
+
+func keep[T string | int | time.Duration](out *Reloaded, name string, now, next T) {
+	if now != next {
+		out.Kept = append(out.Kept, name)
+	}
+}
--- a/daemon/settings/role.go
+++ b/daemon/settings/role.go
@@ -17,6 +17,8 @@
 	// Address is the host's own IP number.
 	Address                   string
 	CallerListen, ReadyListen string
+	// MetricsPort is where metrics and the state are served; 0 if they are not.
+	MetricsPort int
 	// HistoryPort is where history hosts listen for entry hosts.
 	HistoryPort     int
 	PlatformAddress string
@@ -29,6 +31,8 @@
 	// Contact is how long the platform must have answered without trouble before
 	// its changes must be in force within their bounds.
 	Contact time.Duration
+	// LogLevel is the least level of log lines that are written.
+	LogLevel string
 }
 
 const (
@@ -51,6 +55,14 @@
 	return net.JoinHostPort(r.Address, strconv.Itoa(r.HistoryPort))
 }
 
+// MetricsListen is the address of metrics and state, empty if they are not served.
+func (r *Role) MetricsListen() string {
+	if r.MetricsPort == 0 {
+		return ""
+	}
+	return net.JoinHostPort(r.Address, strconv.Itoa(r.MetricsPort))
+}
+
 // LoadRole reads and checks the settings of a role. The error is Faults, or a
 // Failure if the file cannot be read.
 func LoadRole(path string) (*Role, error) {
@@ -75,6 +87,8 @@
 		Address:         r.text("listen", "address", ""),
 		CallerListen:    r.address("listen", "callers", ""),
 		ReadyListen:     r.address("listen", "ready", ""),
+		MetricsPort:     int(r.integer("listen", "metrics_port", 0, 0, 65535)),
+		LogLevel:        r.oneOf("log", "level", "info", "debug", "warn", "error"),
 		HistoryPort:     int(r.integer("listen", "first_internal_port", 0, 1, 65535)),
 		PlatformAddress: r.address("platform", "address", ""),
 		MemoryBytes:     r.integer("limits", "memory_mb", 0, 16, 1<<20) << 20,
--- a/daemon/settings/role_test.go
+++ b/daemon/settings/role_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"reflect"
+	"strings"
 	"testing"
 	"time"
 
@@ -69,3 +71,38 @@
 		"limits.memory_mb", "timing.grace_s", "timing.contact_ms", "timing.wait",
 	}, keys)
 }
+
+func TestReloadTakesWhatCanChangeAndSaysWhatCannot(t *testing.T) {
+	r, err := ParseRole([]byte(roleText))
+	require.NoError(t, err)
+	same, err := ParseRole([]byte(roleText))
+	require.NoError(t, err)
+	require.Equal(t, Reloaded{}, r.Reload(same))
+
+	text := strings.NewReplacer("grace_s = 8.0", "grace_s = 5", "memory_mb = 134", "memory_mb = 200", "hosts = 2", "hosts = 1", "10.9.0.1:80", "10.9.0.2:80").Replace(roleText)
+	next, err := ParseRole([]byte(text + "[log]\nlevel = debug\n"))
+	require.NoError(t, err)
+	got := r.Reload(next)
+	require.Equal(t, []string{"limits.memory_mb", "log.level"}, got.Changed)
+	require.Equal(t, []string{"platform.address", "faults.hosts", "timing.grace_s"}, got.Kept)
+	require.Equal(t, 8*time.Second, r.Grace)
+	require.Equal(t, "debug", r.LogLevel)
+	require.Equal(t, 2, r.FaultHosts)
+	require.Equal(t, "10.9.0.1:80", r.PlatformAddress)
+}
+
+// Every setting is either taken or named as one that needs a restart.
+func TestReloadKnowsEverySetting(t *testing.T) {
+	fields := reflect.TypeOf(Role{})
+	for i := range fields.NumField() {
+		r, next := &Role{}, &Role{}
+		v := reflect.ValueOf(next).Elem().Field(i)
+		if v.Kind() == reflect.String {
+			v.SetString("other")
+		} else {
+			v.SetInt(7)
+		}
+		got := r.Reload(next)
+		require.Equal(t, 1, len(got.Changed)+len(got.Kept), fields.Field(i).Name)
+	}
+}
