entry: the end of a turn that nothing continues waits for no history host

The reservation holds anyway; the settlement now follows the answer (5 to 8 ms less a turn). A refusal for want of budget, which ends a program, waits up to 0.3 s for settlements on their way. Both tests fail without the change.

--- a/core/ledger/budget.go
+++ b/core/ledger/budget.go
@@ -31,6 +31,17 @@
 	return total
 }
 
+// Settled returns the tokens used by all turns but one that are over.
+func (u *Usage) Settled(turn string) int64 {
+	total := int64(0)
+	for id, s := range u.turns {
+		if id != turn && s.settled {
+			total += s.tokens
+		}
+	}
+	return total
+}
+
 // Allows reports whether a turn that may generate most tokens fits the budget.
 //
 // Invariant: if every turn is reserved at a write quorum before its usage is
--- a/daemon/entry/entry_test.go
+++ b/daemon/entry/entry_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/pistachioarch/pistachioarch/core/balance"
 	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/core/historypb"
 	"github.com/pistachioarch/pistachioarch/wire/ownheaders"
 )
 
@@ -223,3 +224,38 @@
 	require.Equal(t, balance.Abandoned, outcomeOf(left, broken))
 	require.Equal(t, failure.CallerGone, endedBy(left, broken.Kind))
 }
+
+// The end of a turn that nothing continues depends on no history host.
+func TestEndOfATurnThatIsNotRetainedWaitsForNobody(t *testing.T) {
+	var s *system
+	x := newTarget(t, "t1", func(_ int, _ received, id string) (string, bool) {
+		for _, m := range s.members {
+			m.silent.Store(true)
+		}
+		return streamed(id, 1, "a", "b"), false
+	})
+	s = newSystem(t, x)
+	got := s.post("/quick/", "in", ownheaders.ID, "1", ownheaders.Program, "p", ownheaders.Left, "1500", ownheaders.Budget, "100", ownheaders.MaxTokens, "12")
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusOK, got.status)
+	require.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", got.body)
+}
+
+// A settlement may still be on its way when the next turn begins; a refusal waits for
+// it, since it ends the program.
+func TestBudgetIsNotRefusedOverASettlementOnItsWay(t *testing.T) {
+	x := newTarget(t, "t1", func(_ int, _ received, id string) (string, bool) { return streamed(id, 1, "a"), false })
+	s := newSystem(t, x)
+	record := func(r *historypb.Record) {
+		require.NoError(t, s.past.Write(t.Context(), "p", time.Minute, r))
+	}
+	record(&historypb.Record{Change: &historypb.Record_Reserve{Reserve: &historypb.Reserve{Turn: "0", Tokens: 95}}})
+	time.AfterFunc(settlementWait/4, func() {
+		_ = s.past.Write(context.Background(), "p", time.Minute,
+			&historypb.Record{Change: &historypb.Record_Settle{Settle: &historypb.Settle{Turn: "0", Tokens: 9}}})
+	})
+	require.Equal(t, http.StatusOK, s.turn("/turn/", "1", "", "in").status)
+	// One that does not come counts at its most.
+	record(&historypb.Record{Change: &historypb.Record_Reserve{Reserve: &historypb.Reserve{Turn: "2", Tokens: 80}}})
+	require.Equal(t, http.StatusPaymentRequired, s.turn("/turn/", "3", "", "in").status)
+}
--- a/daemon/entry/turn.go
+++ b/daemon/entry/turn.go
@@ -8,12 +8,17 @@
 	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/core/historypb"
 	"github.com/pistachioarch/pistachioarch/core/routing"
+	"github.com/pistachioarch/pistachioarch/daemon/quorum"
 )
 
 const (
 	// historyPatience bounds the wait for history hosts before a turn is sent: a
 	// caller that is refused comes back to another host.
 	historyPatience = 800 * time.Millisecond
+	// settlementWait is how long a refusal for want of budget waits for settlements on
+	// their way: one takes some 5 ms, and the refusal ends the program.
+	settlementWait = 300 * time.Millisecond
+	settlementPoll = 30 * time.Millisecond
 	// settlePatience bounds the settling of a budget after an answer.
 	settlePatience = 3 * time.Second
 )
@@ -90,13 +95,45 @@
 	if err != nil {
 		return t.later(err)
 	}
-	if x.call.Budget > 0 && !past.Usage.Allows(x.call.ID, x.call.MaxTokens, x.call.Budget) {
-		return failure.New(failure.BudgetExhausted, "%d of %d used by others, %d wanted",
-			past.Usage.Without(x.call.ID), x.call.Budget, x.call.MaxTokens)
+	if past, err = t.afford(ctx, past); err != nil {
+		return err
 	}
 	return t.prepend(ctx, past.Chain, past.Elsewhere)
 }
 
+// afford refuses the turn if the budget does not allow it, once no settlement that
+// would make room can be on its way any more. It returns the newest reading.
+func (t *turn) afford(ctx context.Context, past *quorum.Past) (*quorum.Past, error) {
+	call := &t.x.call
+	for end := time.Now().Add(settlementWait); ; {
+		if call.Budget == 0 || past.Usage.Allows(call.ID, call.MaxTokens, call.Budget) {
+			return past, nil
+		}
+		wait := past.Usage.Settled(call.ID)+call.MaxTokens <= call.Budget && time.Now().Before(end)
+		if !wait || !sleep(ctx, settlementPoll) {
+			return nil, failure.New(failure.BudgetExhausted, "%d of %d used by others, %d wanted",
+				past.Usage.Without(call.ID), call.Budget, call.MaxTokens)
+		}
+		newer, err := t.x.host.History.Read(ctx, call.Program, "")
+		if err != nil {
+			return nil, t.later(err)
+		}
+		past.Usage = newer.Usage
+	}
+}
+
+// sleep waits, or reports that the context ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // later tells the caller to come back, unless trying again cannot help.
 func (t *turn) later(err error) error {
 	f := *failure.From(err)
@@ -135,17 +172,20 @@
 	return nil
 }
 
-// finish makes the turn and its budget use durable.
+// finish makes the turn and its budget use durable. Where no later turn needs this
+// one, its caller does not wait for that: what was reserved holds until then. That
+// saves 5 to 8 ms a turn, and the whole turn where history hosts are cut off.
 func (t *turn) finish(ctx context.Context) error {
+	if !t.x.route.Retained {
+		t.settle()
+		return nil
+	}
 	began := time.Now()
 	defer func() { t.x.host.Meter.Observe("turn_finish", time.Since(began)) }()
-	records := []*historypb.Record{t.settlement()}
-	if t.x.route.Retained {
-		content := append(append([]byte(nil), t.input...), t.output...)
-		records = append(records, &historypb.Record{Change: &historypb.Record_Turn{
-			Turn: &historypb.Turn{Turn: t.x.call.ID, Previous: t.x.call.Previous, Content: content},
-		}})
-	}
+	content := append(append([]byte(nil), t.input...), t.output...)
+	records := []*historypb.Record{t.settlement(), {Change: &historypb.Record_Turn{
+		Turn: &historypb.Turn{Turn: t.x.call.ID, Previous: t.x.call.Previous, Content: content},
+	}}}
 	if err := t.x.host.History.Write(ctx, t.x.call.Program, t.x.retention(), records...); err != nil {
 		return failure.Unknown(failure.HistoryUnavailable, "turn not kept: %v", err)
 	}
