--- a/ctl/roles/cluster_test.go
+++ b/ctl/roles/cluster_test.go
@@ -34,6 +34,8 @@
 	plainService           = "orders"
 	watchFor               = 2 * time.Second
 	grace                  = 8 * time.Second
+	// retention is short, so that clocks that jump could make hosts drop what is needed.
+	retention = 3 * time.Second
 	// budget lets a program of the tests end with room to spare; loopBudget stops one
 	// that never ends, after a few turns.
 	budget, loopBudget     = 20_000, 200
@@ -46,6 +48,8 @@
 // historyHost is one host with a disk.
 type historyHost struct {
 	name, place, dir string
+	disk             disk
+	clock            clock
 	stop             context.CancelFunc
 	server           *history.Server
 	listener         *vnet.Listener
@@ -132,7 +136,7 @@
 func dataCentre(name string) string { return "dc" + name[1:] }
 
 func (c *cluster) startHistory(h *historyHost) {
-	server, err := history.OpenServer(h.dir, logger(), nil)
+	server, err := history.OpenServer(history.Options{Dir: h.dir, Log: logger(), Create: h.disk.create, Now: h.clock.now})
 	require.NoError(c.t, err)
 	h.server = server
 	h.listener = c.net.Listen(h.place + ":1")
@@ -225,7 +229,7 @@
 	return routing.NewTable(s.Version, routing.Limits{BodyBytes: 1 << 20},
 		[]*routing.Service{{Name: engineService, Engine: &routing.Engine{Places: 8, TokensPerEvent: eventTokens}}, {Name: plainService}},
 		[]*routing.Route{
-			{Name: "turn", Host: "x", Prefix: "/turn/", Kind: routing.Streaming, Services: to(engineService), Attempts: 2, Retained: true, Timeout: s.Timeout},
+			{Name: "turn", Host: "x", Prefix: "/turn/", Kind: routing.Streaming, Services: to(engineService), Attempts: 2, Retained: true, Retention: retention, Timeout: s.Timeout},
 			{Name: "order", Host: "x", Prefix: "/order/", Kind: routing.AtMostOnce, Services: to(plainService), Attempts: 2, Timeout: s.Timeout},
 			{Name: "look", Host: "x", Prefix: "/look/", Services: to(plainService), Attempts: 2, Timeout: s.Timeout},
 			{Name: fmt.Sprintf("v%d", s.Version), Host: "x", Prefix: fmt.Sprintf("/v%d/", s.Version), Services: to(plainService), Attempts: 2},
--- a/ctl/roles/faults_test.go
+++ b/ctl/roles/faults_test.go
@@ -10,6 +10,14 @@
 	planned bool
 }
 
+const (
+	// jump is how far clocks jump: most of the slack that turns are kept for beyond
+	// their retention.
+	jump = 12 * time.Second
+	// sweepTime is long enough for history hosts to drop what has expired.
+	sweepTime = 6 * time.Second
+)
+
 func wait(d time.Duration) { time.Sleep(d) }
 
 var faultCases = []faultCase{
@@ -171,6 +179,34 @@
 		wait(4 * time.Second)
 		c.net.Heal()
 	}},
+	{name: "a slow disk", inject: func(c *cluster) {
+		c.history[0].disk.syncTakes.Store(int64(60 * time.Millisecond))
+		wait(4 * time.Second)
+		c.history[0].disk.syncTakes.Store(0)
+	}},
+	{name: "a disk that hangs", inject: func(c *cluster) {
+		c.history[1].disk.syncTakes.Store(int64(3 * time.Second))
+		wait(2 * time.Second)
+		c.history[1].disk.syncTakes.Store(0)
+		wait(2 * time.Second)
+	}},
+	{name: "a full disk, then another disk is lost", inject: func(c *cluster) {
+		c.history[1].disk.full.Store(true)
+		wait(3 * time.Second)
+		c.history[1].disk.full.Store(false)
+		wait(time.Second)
+		h := c.killHistory(2)
+		c.restartHistory(&historyHost{name: h.name, place: h.place, dir: c.t.TempDir()})
+		wait(3 * time.Second)
+	}},
+	{name: "clocks that jump ahead and back", inject: func(c *cluster) {
+		c.history[0].clock.ahead.Store(int64(jump))
+		c.history[2].clock.ahead.Store(int64(-jump))
+		wait(sweepTime)
+		c.history[0].clock.ahead.Store(0)
+		c.history[2].clock.ahead.Store(int64(jump))
+		wait(sweepTime)
+	}},
 	{name: "two faults: a disk lost, an entry host killed", inject: func(c *cluster) {
 		h := c.killHistory(3)
 		h.dir = c.t.TempDir()
--- /dev/null
+++ b/ctl/roles/faulty_test.go
@@ -0,0 +1,49 @@
+package roles
+
+import (
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pistachioarch/pistachioarch/daemon/wal"
+)
+
+// disk is the disk of a history host, which can turn slow or full.
+type disk struct {
+	syncTakes atomic.Int64 // nanoseconds
+	full      atomic.Bool
+}
+
+func (d *disk) create(name string) (wal.File, error) {
+	if d.full.Load() {
+		return nil, syscall.ENOSPC
+	}
+	f, err := wal.CreateFile(name)
+	if err != nil {
+		return nil, err
+	}
+	return &diskFile{f, d}, nil
+}
+
+type diskFile struct {
+	wal.File
+	disk *disk
+}
+
+func (f *diskFile) Write(b []byte) (int, error) {
+	if f.disk.full.Load() {
+		n, _ := f.File.Write(b[:len(b)/2]) // a torn write
+		return n, syscall.ENOSPC
+	}
+	return f.File.Write(b)
+}
+
+func (f *diskFile) Sync() error {
+	time.Sleep(time.Duration(f.disk.syncTakes.Load()))
+	return f.File.Sync()
+}
+
+// clock is a host's time of day, which can jump.
+type clock struct{ ahead atomic.Int64 }
+
+func (c *clock) now() time.Time { return time.Now().Add(time.Duration(c.ahead.Load())) }
--- a/daemon/cmd/pistachiod/history.go
+++ b/daemon/cmd/pistachiod/history.go
@@ -20,7 +20,7 @@
 
 func runHistory(ctx context.Context, set *settings.Role, o *observer) error {
 	logger := o.logger
-	server, err := history.OpenServer(set.DataFolder, logger, o.meter)
+	server, err := history.OpenServer(history.Options{Dir: set.DataFolder, Log: logger, Meter: o.meter})
 	if err != nil {
 		return err
 	}
--- a/daemon/entry/harness_test.go
+++ b/daemon/entry/harness_test.go
@@ -183,7 +183,7 @@
 func (s *system) startHistory(n int) {
 	m := placement.New(1)
 	for i := range n {
-		server, err := history.OpenServer(s.t.TempDir(), quietLog(), nil)
+		server, err := history.OpenServer(history.Options{Dir: s.t.TempDir(), Log: quietLog()})
 		require.NoError(s.t, err)
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(s.t, err)
--- a/daemon/history/server.go
+++ b/daemon/history/server.go
@@ -34,6 +34,7 @@
 	log    *wal.Log
 	logger *log.Logger
 	meter  *meter.Meter
+	now    func() time.Time // the time of day, which may jump
 
 	// adopting is held while a map goes to disk and then into use, so that the disk
 	// never holds an older one than what was fenced.
@@ -49,13 +50,32 @@
 	relay rpc.Handler
 }
 
-// OpenServer replays the journal in dir; m may be nil.
-func OpenServer(dir string, logger *log.Logger, m *meter.Meter) (*Server, error) {
-	s := &Server{dir: dir, logger: logger, meter: m, ledger: ledger.New(), refresh: func() {}, relay: noRelay}
+// Options are what a Server is made of.
+type Options struct {
+	// Dir is the data folder.
+	Dir string
+	Log *log.Logger
+	// Meter may be nil.
+	Meter *meter.Meter
+	// Create and Now are wal.CreateFile and time.Now unless tests say otherwise.
+	Create wal.Create
+	Now    func() time.Time
+}
+
+// OpenServer replays the journal.
+func OpenServer(o Options) (*Server, error) {
+	if o.Create == nil {
+		o.Create = wal.CreateFile
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	dir, logger := o.Dir, o.Log
+	s := &Server{dir: dir, logger: logger, meter: o.Meter, now: o.Now, ledger: ledger.New(), refresh: func() {}, relay: noRelay}
 	records := 0
 	var damage []wal.Damage
 	var err error
-	s.log, damage, err = wal.Open(dir, func(r *historypb.Record) {
+	s.log, damage, err = wal.Open(dir, o.Create, func(r *historypb.Record) {
 		records++
 		s.ledger.Apply(r)
 	})
@@ -274,7 +294,7 @@
 		case <-stop:
 			return
 		case <-tick.C:
-			s.sweep(time.Now().UnixMilli())
+			s.sweep(s.now().UnixMilli())
 		}
 	}
 }
--- a/daemon/history/server_test.go
+++ b/daemon/history/server_test.go
@@ -15,7 +15,7 @@
 )
 
 func openServer(t *testing.T, dir string) *Server {
-	s, err := OpenServer(dir, log.New(io.Discard), nil)
+	s, err := OpenServer(Options{Dir: dir, Log: log.New(io.Discard)})
 	require.NoError(t, err)
 	return s
 }
--- a/daemon/wal/bench_test.go
+++ b/daemon/wal/bench_test.go
@@ -12,7 +12,7 @@
 func BenchmarkAppend(b *testing.B) {
 	for name, writers := range map[string]int{"writers=1": 1, "writers=64": 64} {
 		b.Run(name, func(b *testing.B) {
-			l, _, err := Open(b.TempDir(), func(*historypb.Record) {})
+			l, _, err := Open(b.TempDir(), CreateFile, func(*historypb.Record) {})
 			require.NoError(b, err)
 			defer l.Close()
 			b.SetParallelism(writers)
--- a/daemon/wal/wal.go
+++ b/daemon/wal/wal.go
@@ -40,6 +40,20 @@
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
+// File is a segment that is being written; *os.File is one.
+type File interface {
+	io.WriteCloser
+	Sync() error
+}
+
+// Create makes a new segment file. Tests put in disks that are slow or full.
+type Create func(name string) (File, error)
+
+// CreateFile is Create on the real disk.
+func CreateFile(name string) (File, error) {
+	return os.OpenFile(name, os.O_CREATE|os.O_EXCL|os.O_WRONLY|os.O_APPEND, 0o644)
+}
+
 // Done is told once whether a group of records is durable.
 type Done func(err error)
 
@@ -50,7 +64,8 @@
 
 // Log is an open write-ahead log. Safe for concurrent use.
 type Log struct {
-	dir string
+	dir    string
+	create Create
 
 	mu     sync.Mutex
 	wake   *sync.Cond
@@ -59,7 +74,7 @@
 	ended  chan struct{}
 
 	// Of the writer only.
-	file    *os.File
+	file    File
 	number  uint64
 	scratch []byte
 
@@ -82,7 +97,7 @@
 }
 
 // Open replays the log in dir into apply and returns it ready for appends.
-func Open(dir string, apply func(*historypb.Record)) (*Log, []Damage, error) {
+func Open(dir string, create Create, apply func(*historypb.Record)) (*Log, []Damage, error) {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, nil, failure.Wrap(err, failure.Corrupt, "data folder")
 	}
@@ -90,7 +105,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	l := &Log{dir: dir, ended: make(chan struct{})}
+	l := &Log{dir: dir, create: create, ended: make(chan struct{})}
 	l.wake = sync.NewCond(&l.mu)
 	var damage []Damage
 	for _, name := range names {
@@ -303,7 +318,7 @@
 		l.file = nil
 	}
 	name := filepath.Join(l.dir, fmt.Sprintf("%016d%s", l.number+1, suffix))
-	f, err := os.OpenFile(name, os.O_CREATE|os.O_EXCL|os.O_WRONLY|os.O_APPEND, 0o644)
+	f, err := l.create(name)
 	if err != nil {
 		if errors.Is(err, os.ErrExist) {
 			l.number++
--- a/daemon/wal/wal_test.go
+++ b/daemon/wal/wal_test.go
@@ -22,7 +22,7 @@
 func open(t *testing.T, dir string) (*Log, []string, []Damage) {
 	t.Helper()
 	var replayed []string
-	l, damage, err := Open(dir, func(r *historypb.Record) { replayed = append(replayed, r.Program) })
+	l, damage, err := Open(dir, CreateFile, func(r *historypb.Record) { replayed = append(replayed, r.Program) })
 	require.NoError(t, err)
 	return l, replayed, damage
 }
@@ -136,7 +136,7 @@
 
 func FuzzReplay(f *testing.F) {
 	dir := f.TempDir()
-	l, _, err := Open(dir, func(*historypb.Record) {})
+	l, _, err := Open(dir, CreateFile, func(*historypb.Record) {})
 	require.NoError(f, err)
 	require.NoError(f, appendWait(l, record("seed", 30)))
 	l.Close()
