--- a/ctl/roles/cluster_test.go
+++ b/ctl/roles/cluster_test.go
@@ -151,6 +151,7 @@
 		defer close(h.ended)
 		keeper.Run(ctx)
 	}()
+	go server.Sweep(ctx.Done())
 	go func() { _ = rpc.Serve(h.listener, server.Handle) }()
 	for i, old := range c.history {
 		if old.name == h.name {
--- a/ctl/roles/faults_test.go
+++ b/ctl/roles/faults_test.go
@@ -190,21 +190,30 @@
 		c.history[1].disk.syncTakes.Store(0)
 		wait(2 * time.Second)
 	}},
-	{name: "a full disk, then another disk is lost", inject: func(c *cluster) {
+	{name: "a full disk while another host is cut off, then a third disk is lost", inject: func(c *cluster) {
 		c.history[1].disk.full.Store(true)
+		for _, e := range c.entries {
+			c.net.Cut(e.place, "10.2.0.0", true)
+		}
 		wait(3 * time.Second)
 		c.history[1].disk.full.Store(false)
+		c.net.Heal()
 		wait(time.Second)
 		h := c.killHistory(2)
 		c.restartHistory(&historyHost{name: h.name, place: h.place, dir: c.t.TempDir()})
 		wait(3 * time.Second)
 	}},
 	{name: "clocks that jump ahead and back", inject: func(c *cluster) {
-		c.history[0].clock.ahead.Store(int64(jump))
-		c.history[2].clock.ahead.Store(int64(-jump))
+		for i, h := range c.history {
+			h.clock.ahead.Store(int64(jump))
+			if i == 3 {
+				h.clock.ahead.Store(int64(-jump))
+			}
+		}
 		wait(sweepTime)
-		c.history[0].clock.ahead.Store(0)
-		c.history[2].clock.ahead.Store(int64(jump))
+		for _, h := range c.history {
+			h.clock.ahead.Store(0)
+		}
 		wait(sweepTime)
 	}},
 	{name: "two faults: a disk lost, an entry host killed", inject: func(c *cluster) {
