--- a/daemon/history/join.go
+++ b/daemon/history/join.go
@@ -139,7 +139,7 @@
 func (k *Keeper) page(ctx context.Context, m *placement.Map, i int, from placement.Member, what *historypb.Copy) (*historypb.Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
 	defer cancel()
-	reply, err := k.peers.client(from.Address).Call(ctx, &historypb.Request{
+	reply, err := k.peers.pool.Client(from.Address).Call(ctx, &historypb.Request{
 		Member: from.ID, Slot: uint32(i), Epoch: m.Epoch, Call: &historypb.Request_Copy{Copy: what},
 	})
 	if err != nil {
--- a/daemon/history/repair.go
+++ b/daemon/history/repair.go
@@ -25,25 +25,13 @@
 
 // peers are the connections to other members, and since when each is silent.
 type peers struct {
-	dialer  rpc.Dialer
-	mu      sync.Mutex
-	clients map[string]*rpc.Client
-	silent  map[string]time.Time // by member id
+	pool   *rpc.Pool
+	mu     sync.Mutex
+	silent map[string]time.Time // by member id
 }
 
 func newPeers(dialer rpc.Dialer) *peers {
-	return &peers{dialer: dialer, clients: map[string]*rpc.Client{}, silent: map[string]time.Time{}}
-}
-
-func (p *peers) client(address string) *rpc.Client {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	c := p.clients[address]
-	if c == nil {
-		c = rpc.NewClient(address, p.dialer)
-		p.clients[address] = c
-	}
-	return c
+	return &peers{pool: rpc.NewPool(dialer), silent: map[string]time.Time{}}
 }
 
 // probe asks every other member for a sign of life.
@@ -56,7 +44,7 @@
 			continue
 		}
 		wait.Go(func() {
-			reply, err := p.client(x.Address).Call(ctx, &historypb.Request{Member: id, Call: &historypb.Request_Ping{Ping: &historypb.Ping{}}})
+			reply, err := p.pool.Client(x.Address).Call(ctx, &historypb.Request{Member: id, Call: &historypb.Request_Ping{Ping: &historypb.Ping{}}})
 			p.note(id, err == nil && reply.Status == historypb.Status_STATUS_OK)
 		})
 	}
--- a/daemon/quorum/health.go
+++ b/daemon/quorum/health.go
@@ -140,7 +140,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			c.close()
+			c.pool.Close()
 			return
 		case <-tick.C:
 			c.judge()
@@ -149,15 +149,6 @@
 	}
 }
 
-// close closes the connections to all members.
-func (c *Client) close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, x := range c.clients {
-		x.Close()
-	}
-}
-
 // probe asks the members that fail or were not heard of lately.
 func (c *Client) probe() {
 	m := c.current()
--- a/daemon/quorum/quorum.go
+++ b/daemon/quorum/quorum.go
@@ -22,15 +22,14 @@
 
 // Client reaches the history hosts. Safe for concurrent use.
 type Client struct {
-	dialer     rpc.Dialer
+	pool       *rpc.Pool
 	dataCentre string
 	logger     *log.Logger
 	meter      *meter.Meter
 
-	mu      sync.Mutex
-	slots   *placement.Map
-	clients map[string]*rpc.Client
-	health  map[string]*health // by member
+	mu     sync.Mutex
+	slots  *placement.Map
+	health map[string]*health // by member
 	// isolated is since when most slots cannot be served.
 	isolated time.Time
 }
@@ -38,7 +37,7 @@
 // New returns a client without a slot map. Replicas of dataCentre are read first; m
 // may be nil.
 func New(dialer rpc.Dialer, dataCentre string, logger *log.Logger, m *meter.Meter) *Client {
-	c := &Client{dialer: dialer, dataCentre: dataCentre, logger: logger, meter: m, clients: map[string]*rpc.Client{}, health: map[string]*health{}}
+	c := &Client{pool: rpc.NewPool(dialer), dataCentre: dataCentre, logger: logger, meter: m, health: map[string]*health{}}
 	m.Gauge("slot_map_epoch", func() int64 { return int64(c.epoch()) })
 	m.Gauge("history_isolated_ms", func() int64 { return c.Isolated().Milliseconds() })
 	return c
@@ -92,23 +91,7 @@
 			delete(c.health, id)
 		}
 	}
-	for address, client := range c.clients {
-		if !wanted[address] {
-			client.Close()
-			delete(c.clients, address)
-		}
-	}
-}
-
-func (c *Client) client(address string) *rpc.Client {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	x := c.clients[address]
-	if x == nil {
-		x = rpc.NewClient(address, c.dialer)
-		c.clients[address] = x
-	}
-	return x
+	c.pool.Keep(wanted)
 }
 
 // Replaced implements objects.Listener.
@@ -151,7 +134,7 @@
 	for _, id := range members {
 		req := build(id)
 		req.Member, req.Slot, req.Epoch = id, slot, m.Epoch
-		client := c.client(m.Members[id].Address)
+		client := c.pool.Client(m.Members[id].Address)
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 			defer cancel()
--- a/daemon/quorum/relay.go
+++ b/daemon/quorum/relay.go
@@ -40,7 +40,7 @@
 		return nil, failure.New(failure.PeerUnavailable, "member %s is gone", member)
 	}
 	req.Member = member
-	reply, err := c.client(to.Address).CallWaiting(ctx, req, wait)
+	reply, err := c.pool.Client(to.Address).CallWaiting(ctx, req, wait)
 	c.note(member, err)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/wire/rpc/rpc_test.go
@@ -0,0 +1,131 @@
+package rpc
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/core/historypb"
+)
+
+// serve starts a server and returns its address.
+func serve(t *testing.T, handle Handler) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() { _ = Serve(l, handle) }()
+	return l.Addr().String()
+}
+
+func client(t *testing.T, address string) *Client {
+	c := NewClient(address, &net.Dialer{})
+	t.Cleanup(c.Close)
+	return c
+}
+
+// echo answers with the slot of the request as revision.
+func echo(req *historypb.Request, answer func(*historypb.Reply)) {
+	answer(&historypb.Reply{Status: historypb.Status_STATUS_OK, Revision: uint64(req.Slot)})
+}
+
+func TestEachCallGetsItsOwnAnswer(t *testing.T) {
+	var mu sync.Mutex
+	var held []func()
+	// Every second answer is given after the one that follows it.
+	c := client(t, serve(t, func(req *historypb.Request, answer func(*historypb.Reply)) {
+		mu.Lock()
+		defer mu.Unlock()
+		if len(held) == 0 {
+			held = append(held, func() { echo(req, answer) })
+			return
+		}
+		echo(req, answer)
+		held[0]()
+		held = nil
+	}))
+	var all sync.WaitGroup
+	for i := range uint32(50) {
+		all.Go(func() {
+			reply, err := c.Call(t.Context(), &historypb.Request{Slot: i})
+			if err != nil || reply.Revision != uint64(i) {
+				t.Errorf("call %d: %v %v", i, reply, err)
+			}
+		})
+	}
+	all.Wait()
+}
+
+func TestASilentPeerEndsAllCallsAndIsDialledAgain(t *testing.T) {
+	silent := true
+	var mu sync.Mutex
+	c := client(t, serve(t, func(req *historypb.Request, answer func(*historypb.Reply)) {
+		mu.Lock()
+		defer mu.Unlock()
+		if !silent {
+			echo(req, answer)
+		}
+	}))
+	_, err := c.Call(t.Context(), &historypb.Request{})
+	require.True(t, failure.Is(err, failure.PeerUnavailable), "%v", err)
+	mu.Lock()
+	silent = false
+	mu.Unlock()
+	_, err = c.Call(t.Context(), &historypb.Request{})
+	require.NoError(t, err)
+}
+
+func TestAWaitingCallOutlivesTheSilenceLimit(t *testing.T) {
+	c := client(t, serve(t, func(req *historypb.Request, answer func(*historypb.Reply)) {
+		time.AfterFunc(silenceLimit+silenceLimit/4, func() { echo(req, answer) })
+	}))
+	reply, err := c.CallWaiting(t.Context(), &historypb.Request{Slot: 3}, 5*silenceLimit)
+	require.NoError(t, err)
+	require.EqualValues(t, 3, reply.Revision)
+}
+
+func TestACallEndsWithItsContext(t *testing.T) {
+	c := client(t, serve(t, func(*historypb.Request, func(*historypb.Reply)) {}))
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(silenceLimit/8, cancel)
+	_, err := c.CallWaiting(ctx, &historypb.Request{}, time.Hour)
+	require.True(t, failure.Is(err, failure.PeerUnavailable), "%v", err)
+}
+
+func TestNobodyListens(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := l.Addr().String()
+	require.NoError(t, l.Close())
+	_, err = client(t, address).Call(t.Context(), &historypb.Request{})
+	require.True(t, failure.Is(err, failure.PeerUnavailable), "%v", err)
+}
+
+func TestABadFrameEndsTheConnectionOnly(t *testing.T) {
+	address := serve(t, echo)
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	_, err = conn.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+	require.NoError(t, err)
+	_, err = conn.Read(make([]byte, 1))
+	require.Error(t, err, "closed by the server")
+	_ = conn.Close()
+	_, err = client(t, address).Call(t.Context(), &historypb.Request{})
+	require.NoError(t, err)
+}
+
+func TestAPoolKeepsOneClientAnAddress(t *testing.T) {
+	p := NewPool(&net.Dialer{})
+	a, b := p.Client("a"), p.Client("b")
+	require.Same(t, a, p.Client("a"))
+	p.Keep(map[string]bool{"b": true})
+	require.NotSame(t, a, p.Client("a"))
+	require.Same(t, b, p.Client("b"))
+	p.Close()
+	_, err := b.Call(t.Context(), &historypb.Request{})
+	require.True(t, failure.Is(err, failure.PeerUnavailable), "closed: %v", err)
+}
