--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -168,7 +168,7 @@
 
 // Done notes the end of a request.
 func (t *Target) Done(o Outcome, now time.Duration) {
-	t.inFlight--
+	t.inFlight = max(0, t.inFlight-1)
 	t.reported.Running = max(0, t.reported.Running-1)
 	switch o {
 	case Served:
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -142,3 +142,19 @@
 	require.Zero(t, c.covered([]request.Part{{ID: "0", Tokens: 1}}))
 	require.EqualValues(t, 1, c.covered([]request.Part{{ID: fmt.Sprint(cacheEntries + 9), Tokens: 1}}))
 }
+
+// A target that is taken from the list and put back has forgotten the requests that
+// are still at it; their ends must not make it look emptier than empty.
+func TestEndsOfRequestsFromBeforeAReturnToTheListDoNotCount(t *testing.T) {
+	r := NewRegistry("dc")
+	listed := Listed{ID: "a", Service: "s", Places: 4, DataCentre: "dc"}
+	r.Set(listed)
+	c, ok := r.Pick(Query{Service: "s"}, 0)
+	require.True(t, ok)
+	c.Sent(nil, 0)
+	r.Remove("a")
+	r.Set(listed)
+	r.targets["a"].Done(Served, 0)
+	require.Zero(t, r.targets["a"].Load())
+	require.Zero(t, r.targets["a"].inFlight)
+}
--- /dev/null
+++ b/ctl/command/inspect_test.go
@@ -0,0 +1,57 @@
+package command
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func roleAnswering(t *testing.T, answers map[string]string) string {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		text, ok := answers[r.URL.Path]
+		if !ok {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		_, _ = w.Write([]byte(text))
+	}))
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+func TestInspectShowsBothRoles(t *testing.T) {
+	entry := roleAnswering(t, map[string]string{
+		"/state":   `{"ready":true,"requests_active":3,"config_version":12,"history":{"epoch":7,"unservable_slots":2}}`,
+		"/metrics": "ready 1\n",
+	})
+	history := roleAnswering(t, map[string]string{"/state": `{"member":"ab","epoch":8,"slots_active":60,"slots_joining":4,"programs":90}`})
+	run := func(args ...string) (int, string, string) {
+		var out, errw bytes.Buffer
+		code := Main(args, &out, &errw)
+		return code, out.String(), errw.String()
+	}
+	code, out, errText := run("--host", entry, "--host", history, "inspect")
+	require.Equal(t, ExitOK, code, errText)
+	require.Contains(t, out, "ready, configuration 12, 3 requests, 2 slots out of reach")
+	require.Contains(t, out, "60 slots, 4 joining, 90 programs")
+
+	code, out, _ = run("--output", "json", "--host", history, "inspect")
+	require.Equal(t, ExitOK, code)
+	require.Contains(t, out, `"slots_joining": 4`)
+
+	code, out, _ = run("--host", entry, "inspect", "--metrics")
+	require.Equal(t, ExitOK, code)
+	require.Equal(t, "# "+entry+"\nready 1\n", out)
+
+	code, _, errText = run("--host", history, "inspect", "--metrics")
+	require.Equal(t, ExitFailure, code)
+	require.Contains(t, errText, "404")
+	code, _, errText = run("--host", roleAnswering(t, map[string]string{"/state": "{}"}), "inspect")
+	require.Equal(t, ExitFailure, code)
+	require.Contains(t, errText, "no role's state")
+	code, _, _ = run("inspect")
+	require.Equal(t, ExitUsage, code)
+}
--- a/daemon/cmd/pistachiod/observe.go
+++ b/daemon/cmd/pistachiod/observe.go
@@ -53,13 +53,7 @@
 		o.logger.Error("metrics are not served", "address", address, "error", err.Error())
 		return
 	}
-	mux := http.NewServeMux()
-	mux.Handle("GET "+metricsPath, o.meter)
-	mux.HandleFunc("GET "+statePath, func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		_, _ = w.Write(o.dump()) // whoever asked has gone
-	})
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: observeTimeout, IdleTimeout: observeTimeout}
+	server := &http.Server{Handler: o.handler(), ReadHeaderTimeout: observeTimeout, IdleTimeout: observeTimeout}
 	go func() {
 		if err := server.Serve(listener); err != http.ErrServerClosed {
 			o.logger.Error("metrics listener failed", "error", err.Error())
@@ -68,6 +62,17 @@
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 }
 
+// handler serves metrics and state.
+func (o *observer) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+metricsPath, o.meter)
+	mux.HandleFunc("GET "+statePath, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(o.dump()) // whoever asked has gone
+	})
+	return mux
+}
+
 // observeTimeout bounds a connection that asks for metrics: whoever reads them is
 // close by and asks every few seconds.
 const observeTimeout = 10 * time.Second
