--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -15,8 +15,6 @@
 	"github.com/charmbracelet/log"
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/pistachioarch/pistachioarch/core/decl"
-	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/core/host"
 	"github.com/pistachioarch/pistachioarch/daemon/settings"
 	"github.com/pistachioarch/pistachioarch/wire/platform"
@@ -333,91 +331,3 @@
 	defer n.mu.Unlock()
 	return n.host.Dump()
 }
-
-// Drained is closed once nothing is owned any more after a graceful stop that an
-// operator asked for; Drain then ends the host.
-func (n *Node) Drained() <-chan struct{} { return n.drained }
-
-// Drain stops the host in good order: it hands its programs over and answers
-// every request it has taken. It returns when that is done, or with a Failure
-// when ctx ends first; the host then goes on stopping.
-func (n *Node) Drain(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer context.AfterFunc(n.ctx, cancel)() // killed meanwhile
-	n.log.Info("draining")
-	n.step(&host.Drain{})
-	select {
-	case <-n.drained:
-	case <-ctx.Done():
-		return failure.Wrap(ctx.Err(), failure.Draining, "drain")
-	}
-	if err := n.requests.wait(ctx); err != nil {
-		return err
-	}
-	n.flushOutboxes(ctx)
-	for _, s := range n.servers {
-		_ = s.Shutdown(ctx) // idle connections end; requests were waited for
-	}
-	n.Kill()
-	n.log.Info("stopped")
-	return nil
-}
-
-// Kill ends the host at once, as when its process dies.
-func (n *Node) Kill() {
-	n.mu.Lock()
-	n.stopped = true
-	n.mu.Unlock()
-	n.cancel()
-	for _, l := range []net.Listener{n.opt.Callers, n.opt.Operators, n.opt.Peers} {
-		_ = l.Close() // nothing more is accepted either way
-	}
-	n.client.CloseIdleConnections()
-	n.work.Wait()
-}
-
-// pollTargets reads the load of every target, and now and then what it keeps.
-func (n *Node) pollTargets() {
-	report := time.NewTicker(n.set.ReportEvery)
-	defer report.Stop()
-	sweepAt := time.Now().Add(n.set.SweepEvery)
-	for {
-		select {
-		case <-n.ctx.Done():
-			return
-		case <-report.C:
-		}
-		sweep := time.Now().After(sweepAt)
-		if sweep {
-			sweepAt = time.Now().Add(n.set.SweepEvery)
-		}
-		for _, t := range n.engines() {
-			n.goDo(func() { n.pollTarget(t, sweep) })
-		}
-	}
-}
-
-func (n *Node) engines() []*decl.Target {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.host.Engines()
-}
-
-func (n *Node) pollTarget(t *decl.Target, sweep bool) {
-	ctx, cancel := context.WithTimeout(n.ctx, releaseTimeout)
-	defer cancel()
-	var load target.Load
-	if n.targets.Get(ctx, t, "v1/load", &load) != nil {
-		return
-	}
-	ev := &host.TargetReport{Target: t.Name, Queued: load.Queued}
-	if sweep {
-		var cache target.Cache
-		if n.targets.Get(ctx, t, "v1/cache", &cache) != nil {
-			return
-		}
-		ev.Holds = programIDs(cache.Programs)
-	}
-	n.step(ev)
-}
