--- a/daemon/entry/host.go
+++ b/daemon/entry/host.go
@@ -182,12 +182,12 @@
 const rotationTime = 2 * time.Second
 
 // comeBack is when a caller that history hosts cannot serve should try again: at
-// once if this host is in touch with them or alone out of touch, since another
-// host gets the retry; if its data centre is cut off, when callers are sent to
-// other data centres.
+// once if this host is in touch with them, otherwise when callers are sent to
+// other hosts. Sending callers on at once where this host alone is cut off was worse:
+// with three of eight hosts cut off 11 in 1,000 programs were refused for good, not 0 to 3.
 func (h *Host) comeBack() time.Duration {
 	isolated := h.History.Isolated()
-	if isolated == 0 || h.History.Alone() {
+	if isolated == 0 {
 		return retryLater
 	}
 	return max(retryLater, rotationTime-isolated)
--- a/daemon/quorum/health.go
+++ b/daemon/quorum/health.go
@@ -94,23 +94,6 @@
 	return time.Since(c.isolated)
 }
 
-// Alone reports whether a member of the host's own data centre is among those that
-// do not answer: the host itself is cut off then, not its data centre.
-func (c *Client) Alone() bool {
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.slots == nil {
-		return false
-	}
-	for id, m := range c.slots.Members {
-		if m.DataCentre == c.dataCentre && c.failingFor(id, now) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // judge notes whether the host is isolated from the history hosts.
 func (c *Client) judge() {
 	now := time.Now()
--- a/daemon/quorum/read_test.go
+++ b/daemon/quorum/read_test.go
@@ -2,14 +2,10 @@
 
 import (
 	"fmt"
-	"io"
 	"testing"
 
-	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
 
-	"github.com/pistachioarch/pistachioarch/core/failure"
-
 	"github.com/pistachioarch/pistachioarch/core/historypb"
 	"github.com/pistachioarch/pistachioarch/core/placement"
 )
@@ -48,17 +44,3 @@
 	require.Len(t, p.Chain, 3)
 	require.Equal(t, "a", p.Chain[2].Turn)
 }
-
-func TestAHostIsAloneIfItsOwnDataCentreIsOutOfReachToo(t *testing.T) {
-	c := New(nil, "m1", log.New(io.Discard), nil)
-	c.slots = mapOf(4)
-	lost := failure.New(failure.PeerUnavailable, "no answer")
-	for _, id := range []string{"m0", "m2", "m3"} {
-		c.note(id, lost)
-	}
-	require.False(t, c.Alone(), "the data centre is cut off")
-	c.note("m1", lost)
-	require.True(t, c.Alone())
-	c.note("m1", nil)
-	require.False(t, c.Alone())
-}
