placement weighs queues in proportion; new programs are turned away while engines have queues; a player of load patterns

Cause: on a full engine placement put a fixed cost of two units, more than reading a whole prompt anew. In a burst turns fled from the engines that had their prompts as soon as these were full; the reading filled the others.

A target's own word of its load fades after a second, or a host that turned all away would stay shut.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -70,6 +70,21 @@
 	// paced is the lowest pace among them, as of pacedAt.
 	paced   float64
 	pacedAt time.Duration
+	// prompt is the running mean of prompts, in tokens.
+	prompt float64
+}
+
+// promptStep is the weight of one prompt in the mean.
+const promptStep = 0.02
+
+// asked notes the length of a prompt.
+func (s *service) asked(tokens int64) {
+	if s.prompt == 0 {
+		s.prompt = float64(tokens)
+	}
+	if tokens > 0 {
+		s.prompt += promptStep * (float64(tokens) - s.prompt)
+	}
 }
 
 // NewRegistry returns an empty registry of a host in dataCentre.
@@ -224,11 +239,23 @@
 }
 
 // Load estimates the requests at the target: the larger of its own count and
-// this host's.
-func (t *Target) Load() int {
-	return max(t.inFlight, t.reported.Running+t.reported.Waiting)
+// this host's. A target's own word fades once it is old: where it was full when last
+// heard and nothing is sent there since, it would stay full for ever.
+func (t *Target) Load(now time.Duration) int {
+	told := t.reported.Running + t.reported.Waiting
+	if age := now - t.reportedAt; t.hasReport && age > reportTrust {
+		told = int(float64(told) * math.Exp2(-float64(age-reportTrust)/float64(reportHalfLife)))
+	}
+	return max(t.inFlight, told)
 }
 
+const (
+	// reportTrust is how long a target's word of its load counts in full: some turns.
+	reportTrust = time.Second
+	// reportHalfLife halves it from then on.
+	reportHalfLife = time.Second
+)
+
 // Query is what Pick needs to know of a request.
 type Query struct {
 	Service string
@@ -258,13 +285,14 @@
 	var bestCost float64
 	candidates := 0
 	service := r.of(q.Service)
+	service.asked(q.PromptTokens)
 	fastest := service.fastest(now)
 	for _, t := range service.targets {
 		if q.Exclude[t.ID] || t.obstacle(now) != "" {
 			continue
 		}
 		candidates++
-		if cost := r.cost(t, q, fastest, now); best == nil || cost < bestCost {
+		if cost := r.cost(t, q, service, fastest, now); best == nil || cost < bestCost {
 			best, bestCost = t, cost
 		}
 	}
@@ -275,7 +303,7 @@
 }
 
 func (t *Target) choice(missing int64, now time.Duration, candidates int) Choice {
-	c := Choice{Target: t, Load: t.Load(), Places: t.Places, Missing: missing, ReportAge: -1, Candidates: candidates}
+	c := Choice{Target: t, Load: t.Load(now), Places: t.Places, Missing: missing, ReportAge: -1, Candidates: candidates}
 	if t.hasReport {
 		c.ReportAge = now - t.reportedAt
 	}
@@ -291,19 +319,40 @@
 	return max(0, q.PromptTokens-covered)
 }
 
-func (r *Registry) cost(t *Target, q Query, fastest float64, now time.Duration) float64 {
+// wait is the part of the cost that grows with the target's load. A plain target
+// works on each request by itself, so its load counts as it is; an engine's batch
+// hardly slows down until it is full.
+func (r *Registry) wait(t *Target, q Query, now time.Duration) float64 {
 	places := float64(max(1, t.Places))
-	load := float64(t.Load()) / places
-	cost := r.slowness(t, fastest, now)*(1+load) - 1
-	if load >= 1 {
-		cost += r.weights.Full
+	load := float64(t.Load(now)) / places
+	if q.PromptTokens == 0 {
+		return load
 	}
-	cost += r.weights.Fault * min(faultMost, t.fade(now))
+	return r.weights.Busy*min(load, 1) + r.weights.Wait*max(0, load-1+1/places)
+}
+
+func (r *Registry) cost(t *Target, q Query, s *service, fastest float64, now time.Duration) float64 {
+	w := &r.weights
+	cost := r.slowness(t, fastest, now)*(1+r.wait(t, q, now)) - 1
+	cost += w.Fault * min(faultMost, t.fade(now))
 	if t.DataCentre != r.dataCentre {
-		cost += r.weights.Far
+		cost += w.Far
 	}
 	if q.PromptTokens > 0 {
-		cost += r.weights.Prefill * float64(r.missing(t, q)) / float64(q.PromptTokens)
+		cost += w.Prefill * float64(r.missing(t, q)) / s.prompt
 	}
 	return cost
 }
+
+// MeanLoad is the load of a service over its places.
+func (r *Registry) MeanLoad(name string, now time.Duration) float64 {
+	load, places := 0, 0
+	for _, t := range r.of(name).targets {
+		if t.Draining || t.Unreachable {
+			continue
+		}
+		load += t.Load(now)
+		places += t.Places
+	}
+	return float64(load) / float64(max(1, places))
+}
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -66,13 +66,17 @@
 	require.Equal(t, "t1", pick(t, r, Query{}))
 }
 
-func TestPickFollowsThePrefixUnlessItsTargetIsFull(t *testing.T) {
+// Reading a prompt again costs all that runs at an engine more than a short queue
+// costs the request; a long queue costs more than the reading.
+func TestPickFollowsThePrefixUnlessItsTargetHasALongQueue(t *testing.T) {
 	r := registryOf(3)
 	q := prompt("shared", "session")
 	target(t, r, "t1").Sent(q.Parts, 0)
 	target(t, r, "t1").Done(Served, 0)
 	require.Equal(t, "t1", pick(t, r, q))
-	target(t, r, "t1").Heard(request.Load{Running: 10, Places: 10}, 0)
+	target(t, r, "t1").Heard(request.Load{Running: 10, Waiting: 4, Places: 10}, 0)
+	require.Equal(t, "t1", pick(t, r, q))
+	target(t, r, "t1").Heard(request.Load{Running: 10, Waiting: 16, Places: 10}, 0)
 	require.NotEqual(t, "t1", pick(t, r, q))
 }
 
@@ -155,6 +159,6 @@
 	r.Remove("a")
 	r.Set(listed)
 	r.targets["a"].Done(Served, 0)
-	require.Zero(t, r.targets["a"].Load())
+	require.Zero(t, r.targets["a"].Load(0))
 	require.Zero(t, r.targets["a"].inFlight)
 }
--- a/core/balance/state.go
+++ b/core/balance/state.go
@@ -45,7 +45,7 @@
 	s := State{
 		Target: t.ID, Service: t.Service, DataCentre: t.DataCentre, Draining: t.Draining, Why: t.obstacle(now),
 		Slowness: r.slowness(t, r.of(t.Service).fastest(now), now),
-		InFlight: t.inFlight, Load: t.Load(), Places: t.Places, ReportAgeMs: -1, Faults: t.fade(now), CachedParts: len(t.cache.used),
+		InFlight: t.inFlight, Load: t.Load(now), Places: t.Places, ReportAgeMs: -1, Faults: t.fade(now), CachedParts: len(t.cache.used),
 	}
 	s.Usable = s.Why == ""
 	if t.hasReport {
--- a/core/balance/weights.go
+++ b/core/balance/weights.go
@@ -2,16 +2,23 @@
 
 import "time"
 
-// Weights of the cost by which Pick chooses, in units of one full target.
+// Weights of the cost by which Pick chooses, in units of the time that one request
+// takes at a full target. They were chosen by playing bursts on a model of a small
+// fleet (9 engines of 12 places, 8 hosts that do not talk): with twice the load for
+// six seconds 0.90 of the programs' worth was earned when a full target cost two
+// units more than one that is nearly full, and 0.998 with these weights, since each
+// move away from a queue of some requests makes another engine read the whole prompt.
 type Weights struct {
-	// Prefill is the cost of reading a whole prompt that is not cached. Reading stalls
-	// all that runs at the engine: mean worth of 12 high days 0.770 with 0.5, 0.798
-	// with 1, 0.793 with 2.
+	// Busy is the cost of an engine whose places are all taken: its steps are that much
+	// slower, some tenths.
+	Busy float64
+	// Wait is the cost of a queue as long as the engine has places.
+	Wait float64
+	// Prefill is the cost of reading a prompt of mean length. Reading stalls all that
+	// runs at the engine.
 	Prefill float64
 	// Far is the cost of another data centre: the way, and priced bytes.
 	Far float64
-	// Full is added where all places are taken.
-	Full float64
 	// Fault is the cost of one recent failure: enough to leave a target that is idle
 	// for one that is nearly full.
 	Fault float64
@@ -23,7 +30,15 @@
 
 // DefaultWeights returns the measured defaults.
 func DefaultWeights() Weights {
-	return Weights{Prefill: 1.5, Far: 0.1, Full: 2, Fault: 0.4, Homes: true, Pace: true}
+	return Weights{Busy: 0.1, Wait: 0.7, Prefill: 1, Far: 0.1, Fault: 0.4, Homes: true, Pace: true}
+}
+
+// FormerWeights are those of the way before, as a baseline: a target without a free
+// place costs two more.
+func FormerWeights() Weights {
+	w := DefaultWeights()
+	w.Busy, w.Wait, w.Prefill = 1, 24, 1.5
+	return w
 }
 
 // slowness is how many times slower than the fastest the target is, as far as that
--- a/ctl/command/replay.go
+++ b/ctl/command/replay.go
@@ -13,6 +13,7 @@
 )
 
 type replayCommand struct {
+	playOptions
 	app      *app
 	Trace    string `long:"trace" value-name:"FILE.jsonl" description:"trace to replay; FILE.want.json beside it states the outcome"`
 	Policy   string `long:"policy" default:"default" description:"default, round_robin, least_loaded, sticky_fcfs, or all"`
@@ -26,8 +27,11 @@
 	if c.Generate != "" {
 		return c.generate()
 	}
+	if c.Pattern != "" {
+		return c.play()
+	}
 	if c.Trace == "" {
-		return failure.New(failure.Usage, "--trace is needed")
+		return failure.New(failure.Usage, "--trace or --pattern is needed")
 	}
 	t, want, err := readTrace(c.Trace)
 	if err != nil {
--- /dev/null
+++ b/ctl/player/host.go
@@ -0,0 +1,334 @@
+package player
+
+import (
+	"time"
+
+	"github.com/pistachioarch/pistachioarch/core/balance"
+	"github.com/pistachioarch/pistachioarch/core/dispatch"
+	"github.com/pistachioarch/pistachioarch/core/request"
+	"github.com/pistachioarch/pistachioarch/ctl/simclock"
+)
+
+// retryLater is when a caller may come back after a refusal by targets.
+const retryLater = 100 * time.Millisecond
+
+// host is one entry host: the decisions of the role, and a model of its connections.
+type host struct {
+	w          *world
+	centre     string
+	up         bool
+	registry   *balance.Registry
+	dispatcher *dispatch.Dispatcher
+	idle       map[string][]time.Duration // by target, when connections fell idle
+	open       map[*sending]bool
+}
+
+// outcome is what a caller sees of one attempt.
+type outcome struct {
+	ok bool
+	// notRun is true for a refusal; comeBack is then when to try again.
+	notRun   bool
+	comeBack time.Duration
+	first    time.Duration
+}
+
+// sending is one request at a target.
+type sending struct {
+	target string
+	first  time.Duration // when its first event came
+	cancel func()
+	fail   func()
+}
+
+func newHost(w *world, _ int, centre string) *host {
+	h := &host{w: w, centre: centre}
+	h.start()
+	return h
+}
+
+func (h *host) start() {
+	h.up = true
+	h.registry = balance.NewRegistry(h.centre, h.w.policy.Weights)
+	h.dispatcher = dispatch.New(h.registry, h.w.policy.Limits)
+	h.idle, h.open = map[string][]time.Duration{}, map[*sending]bool{}
+	for _, id := range h.w.order {
+		h.registry.Set(h.w.listed(id))
+	}
+}
+
+// stop takes the host away in good order: what it has sent goes on.
+func (h *host) stop() { h.up = false }
+
+// inRotation reports whether the balancer sends callers here.
+func (h *host) inRotation() bool {
+	if at, cut := h.w.cutAt[h.centre]; cut {
+		return h.w.Now()-at < rotationAfter
+	}
+	if at, was := h.w.healed[h.centre]; was {
+		return h.w.Now()-at > returnAfter
+	}
+	return true
+}
+
+// loseAcross ends the sendings that a cut goes through.
+func (h *host) loseAcross(string) {
+	for s := range h.open {
+		if h.w.apart(h.centre, h.w.centreOf(s.target)) {
+			h.w.After(unreachableAfter, s.fail)
+		}
+	}
+}
+
+// turn is one turn as the host serves it.
+type turn struct {
+	h        *host
+	parts    []request.Part
+	prompt   int
+	tokens   int
+	own      request.Part
+	underWay bool
+	draw     float64
+	deadline time.Duration // of the caller
+	began    time.Duration
+	retained bool
+	attempts int
+	class    *Class
+	tried    map[string]bool
+	reply    func(outcome)
+	over     bool
+	sending  *sending
+}
+
+// serve begins a turn: history hosts first.
+func (t *turn) serve() {
+	w := t.h.w
+	t.tried = map[string]bool{}
+	if at, cut := w.cutAt[t.h.centre]; cut {
+		t.end(outcome{notRun: true, comeBack: max(retryLater, rotationAfter-(w.Now()-at))})
+		return
+	}
+	w.After(t.deadline-w.Now(), func() { t.abandon() })
+	w.After(simclock.Milliseconds(w.fleet.BeginMs), t.route)
+}
+
+// abandon ends the turn at its deadline.
+func (t *turn) abandon() {
+	if t.over {
+		return
+	}
+	if t.sending != nil {
+		t.sending.cancel()
+		t.done(balance.Failed)
+	}
+	t.end(outcome{})
+}
+
+func (t *turn) end(o outcome) {
+	if !t.over {
+		t.over = true
+		t.reply(o)
+	}
+}
+
+func (t *turn) route() {
+	if t.over {
+		return
+	}
+	h, w := t.h, t.h.w
+	v := h.dispatcher.Decide(dispatch.Request{
+		Query:    balance.Query{Service: engineService, Parts: t.parts, PromptTokens: int64(t.prompt), Exclude: t.tried},
+		UnderWay: t.underWay, Draw: t.draw,
+	}, w.Now())
+	switch v.Decision {
+	case dispatch.NoTarget:
+		t.end(outcome{notRun: true, comeBack: retryLater})
+	case dispatch.TurnAway:
+		w.result.TurnedAway++
+		t.end(outcome{notRun: true, comeBack: v.ComeBack})
+	default:
+		t.send(v.Choice.Target)
+	}
+}
+
+func (t *turn) send(target *balance.Target) {
+	h, w := t.h, t.h.w
+	e := w.engines[target.ID]
+	target.Sent(t.parts, w.Now())
+	t.tried[target.ID] = true
+	delay := w.link(h.centre, e.centre)
+	way := delay + h.connect(target.ID, delay)
+	r := &run{parts: t.parts, tokens: t.tokens, own: t.own}
+	s := &sending{target: target.ID}
+	t.sending = s
+	h.open[s] = true
+	s.cancel = func() { w.After(delay, func() { e.cancel(r) }) }
+	s.fail = func() {
+		if t.sending == s && !t.over {
+			t.done(balance.Failed)
+			t.end(outcome{})
+		}
+	}
+	r.first = func(l request.Load) { w.After(delay, func() { t.heard(s, l) }) }
+	r.done = func() { w.After(delay, func() { t.whole(s) }) }
+	w.After(way, func() {
+		if w.apart(h.centre, e.centre) {
+			return // found out by loseAcross or by the deadline
+		}
+		if !e.submit(r) {
+			w.After(delay, func() { t.refused(s) })
+		}
+	})
+}
+
+// connect returns the time for a connection: none where one is idle.
+func (h *host) connect(target string, delay time.Duration) time.Duration {
+	list := h.idle[target]
+	limit := simclock.Milliseconds(h.w.fleet.IdleMs)
+	for len(list) > 0 {
+		last := list[len(list)-1]
+		list = list[:len(list)-1]
+		h.idle[target] = list
+		if h.w.Now()-last < limit {
+			return 0
+		}
+	}
+	h.w.result.Connections++
+	return 2*delay + time.Millisecond
+}
+
+func (h *host) release(target string) {
+	const most = 8 // idle connections to one target
+	if list := h.idle[target]; len(list) < most {
+		h.idle[target] = append(list, h.w.Now())
+	}
+}
+
+// done tells the registry how a sending ended.
+func (t *turn) done(o balance.Outcome) {
+	s := t.sending
+	if s == nil {
+		return
+	}
+	t.sending = nil
+	delete(t.h.open, s)
+	if x, ok := t.h.registry.Target(s.target); ok {
+		x.Done(o, t.h.w.Now())
+	}
+}
+
+func (t *turn) heard(s *sending, l request.Load) {
+	if t.over || t.sending != s {
+		return
+	}
+	if x, ok := t.h.registry.Target(s.target); ok {
+		x.Heard(l, t.h.w.Now())
+	}
+	t.h.w.result.first(t.h.w.Now() - t.began)
+	s.first = t.h.w.Now()
+}
+
+func (t *turn) refused(s *sending) {
+	if t.over || t.sending != s {
+		return
+	}
+	t.done(balance.Refused)
+	t.h.release(s.target)
+	if len(t.tried) >= t.attempts {
+		t.end(outcome{notRun: true, comeBack: retryLater})
+		return
+	}
+	t.route()
+}
+
+// whole ends a turn that was generated to its end.
+func (t *turn) whole(s *sending) {
+	if t.over || t.sending != s {
+		return
+	}
+	t.done(balance.Served)
+	t.h.registry.Took(s.target, engineService, (t.h.w.Now()-s.first)/time.Duration(t.tokens), t.h.w.Now())
+	t.h.release(s.target)
+	keep := time.Duration(0)
+	if t.retained {
+		keep = simclock.Milliseconds(t.h.w.fleet.KeepMs)
+	}
+	t.h.w.After(keep, func() { t.end(outcome{ok: true}) })
+}
+
+// call is one request to a plain target as the host serves it.
+type call struct {
+	h          *host
+	tool       *Tool
+	work       time.Duration
+	deadline   time.Duration
+	idempotent bool
+	tried      map[string]bool
+	reply      func(outcome)
+	over       bool
+}
+
+const plainAttempts = 2
+
+func (c *call) serve() {
+	w := c.h.w
+	c.tried = map[string]bool{}
+	w.After(c.deadline-w.Now(), func() { c.end(outcome{}) })
+	c.route()
+}
+
+func (c *call) end(o outcome) {
+	if !c.over {
+		c.over = true
+		c.reply(o)
+	}
+}
+
+func (c *call) route() {
+	h, w := c.h, c.h.w
+	v := h.dispatcher.Decide(dispatch.Request{Query: balance.Query{Service: plainService, Exclude: c.tried}, UnderWay: true}, w.Now())
+	if v.Decision != dispatch.Send {
+		c.end(outcome{notRun: true, comeBack: retryLater})
+		return
+	}
+	target := v.Choice.Target
+	p := w.plains[target.ID]
+	target.Sent(nil, w.Now())
+	c.tried[target.ID] = true
+	delay := w.link(h.centre, p.centre)
+	way := delay + h.connect(target.ID, delay)
+	sent := w.Now()
+	done := func(o balance.Outcome) {
+		if x, ok := h.registry.Target(target.ID); ok {
+			x.Done(o, w.Now())
+		}
+	}
+	j := &job{work: c.work, done: func(l request.Load) {
+		w.After(delay, func() {
+			if x, ok := h.registry.Target(target.ID); ok {
+				x.Heard(l, w.Now())
+			}
+			done(balance.Served)
+			h.registry.Took(target.ID, c.tool.Name, w.Now()-sent, w.Now())
+			h.release(target.ID)
+			c.end(outcome{ok: true})
+		})
+	}}
+	w.After(way, func() {
+		if w.apart(h.centre, p.centre) {
+			w.After(unreachableAfter, func() { done(balance.Failed); c.end(outcome{}) })
+			return
+		}
+		if p.submit(j) {
+			return
+		}
+		w.After(delay, func() {
+			done(balance.Refused)
+			h.release(target.ID)
+			if len(c.tried) >= plainAttempts {
+				c.end(outcome{notRun: true, comeBack: retryLater})
+				return
+			}
+			c.route()
+		})
+	})
+}
--- /dev/null
+++ b/ctl/player/player_test.go
@@ -0,0 +1,114 @@
+package player
+
+import (
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const folder = "../../traces/load"
+
+func fleet(t *testing.T) *Fleet {
+	t.Helper()
+	f, err := ReadFleet(filepath.Join(folder, "small.ini"))
+	require.NoError(t, err)
+	return f
+}
+
+func pattern(t *testing.T, name string) *Pattern {
+	t.Helper()
+	p, err := ReadPattern(filepath.Join(folder, name+".pattern.ini"))
+	require.NoError(t, err)
+	return p
+}
+
+func policy(t *testing.T, name string) Policy {
+	t.Helper()
+	p, err := PolicyNamed(name)
+	require.NoError(t, err)
+	return p
+}
+
+// outcomeOf is the mean over some seeds.
+type outcomeOf struct{ worth, worst, recovery float64 }
+
+func play(t *testing.T, patternName, policyName string, load float64) outcomeOf {
+	t.Helper()
+	const seeds = 4
+	f, p := fleet(t), pattern(t, patternName)
+	p.Scale(load)
+	var o outcomeOf
+	for seed := range uint64(seeds) {
+		r := Run(f, p, policy(t, policyName), seed+1)
+		o.worth += r.Worth() / seeds
+		o.worst += r.Worst() / seeds
+		o.recovery += r.Recovery().Seconds() / seeds
+	}
+	return o
+}
+
+func TestSameSeedSameResult(t *testing.T) {
+	f, p := fleet(t), pattern(t, "burst")
+	a, b := Run(f, p, policy(t, "default"), 3), Run(f, p, policy(t, "default"), 3)
+	require.Equal(t, a.Windows, b.Windows)
+	require.Equal(t, a.Read, b.Read)
+	require.NotEqual(t, a.Windows, Run(f, p, policy(t, "default"), 4).Windows)
+}
+
+func TestAllPatternsAreReadAndServed(t *testing.T) {
+	files, err := filepath.Glob(filepath.Join(folder, "*.pattern.ini"))
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, len(files), 10)
+	for _, file := range files {
+		p, err := ReadPattern(file)
+		require.NoError(t, err)
+		t.Run(p.Name, func(t *testing.T) {
+			r := Run(fleet(t), p, policy(t, "default"), 1)
+			require.Greater(t, r.Worth(), 0.6)
+			require.Equal(t, r.Programs, r.InTime+r.Late+r.Failed, "every program ends")
+		})
+	}
+}
+
+// A queue costs in proportion. When a full engine cost two units more than one that
+// was nearly full, turns fled from their cached prompts as soon as a burst filled the
+// engines, and reading these again filled them further.
+func TestBurstDoesNotDriveTurnsFromTheirPrompts(t *testing.T) {
+	now, before := play(t, "burst", "default", 1), play(t, "burst", "former", 1)
+	require.Greater(t, now.worth, 0.98)
+	require.Greater(t, now.worst, 0.95)
+	require.Less(t, before.worst, 0.8, "the test sees the difference")
+}
+
+// Three times the usual load is more than the engines can do. Programs that have not
+// begun are turned away, so that those under way end.
+func TestFloodDoesNotCollapse(t *testing.T) {
+	now, before := play(t, "flood", "default", 1), play(t, "flood", "send_at_once", 1)
+	require.Greater(t, now.worth, before.worth+0.1)
+	require.Greater(t, now.worst, 0.3)
+	require.Less(t, now.recovery, before.recovery)
+}
+
+// Two of four plain targets turn slow: they get less.
+func TestSlowTargetsGetLess(t *testing.T) {
+	now, before := play(t, "slow", "default", 1), play(t, "slow", "no_pace", 1)
+	require.Greater(t, now.worst, before.worst)
+}
+
+// Hosts that do not talk agree on the engines that keep a shared part.
+func TestHomesOfSharedPartsAreWorthTheirPlace(t *testing.T) {
+	now, before := play(t, "burst", "default", 1.2), play(t, "burst", "no_homes", 1.2)
+	require.Greater(t, now.worst, before.worst)
+}
+
+func TestBadFilesAreRefused(t *testing.T) {
+	_, err := ReadFleet(filepath.Join(folder, "none.ini"))
+	require.Error(t, err)
+	_, err = ReadFleet(filepath.Join(folder, "burst.pattern.ini"))
+	require.Error(t, err)
+	_, err = ReadPattern(filepath.Join(folder, "small.ini"))
+	require.Error(t, err)
+	_, err = PolicyNamed("none")
+	require.Error(t, err)
+}
--- /dev/null
+++ b/ctl/player/policies.go
@@ -0,0 +1,39 @@
+package player
+
+import (
+	"github.com/pistachioarch/pistachioarch/core/balance"
+	"github.com/pistachioarch/pistachioarch/core/dispatch"
+	"github.com/pistachioarch/pistachioarch/core/failure"
+)
+
+// Policies lists what can be compared: the product's, what it does without one of
+// its mechanisms, and baselines.
+func Policies() []Policy {
+	w, l := balance.DefaultWeights(), dispatch.DefaultLimits()
+	vary := func(name string, change func(*balance.Weights, *dispatch.Limits)) Policy {
+		w, l := w, l
+		change(&w, &l)
+		return Policy{Name: name, Weights: w, Limits: l}
+	}
+	return []Policy{
+		{Name: "default", Weights: w, Limits: l},
+		vary("send_at_once", func(_ *balance.Weights, l *dispatch.Limits) { *l = dispatch.Limits{} }),
+		vary("no_pace", func(w *balance.Weights, _ *dispatch.Limits) { w.Pace = false }),
+		vary("no_homes", func(w *balance.Weights, _ *dispatch.Limits) { w.Homes = false }),
+		vary("no_prefill", func(w *balance.Weights, _ *dispatch.Limits) { w.Prefill = 0 }),
+		vary("no_wait", func(w *balance.Weights, _ *dispatch.Limits) { w.Wait = 0 }),
+		vary("no_far", func(w *balance.Weights, _ *dispatch.Limits) { w.Far = 0 }),
+		{Name: "former", Weights: balance.FormerWeights()},
+		{Name: "least_loaded", Weights: balance.Weights{Busy: 1, Wait: 1}},
+	}
+}
+
+// PolicyNamed returns one of Policies.
+func PolicyNamed(name string) (Policy, error) {
+	for _, p := range Policies() {
+		if p.Name == name {
+			return p, nil
+		}
+	}
+	return Policy{}, failure.New(failure.Usage, "unknown policy %q", name)
+}
--- a/ctl/replay/audit.go
+++ b/ctl/replay/audit.go
@@ -32,7 +32,7 @@
 	r := a.w.result
 	r.Violations++
 	if len(r.ViolationTexts) < maxViolationTexts {
-		r.ViolationTexts = append(r.ViolationTexts, fmt.Sprintf("%s: ", a.w.now-settleBefore)+fmt.Sprintf(format, args...))
+		r.ViolationTexts = append(r.ViolationTexts, fmt.Sprintf("%s: ", a.w.Now()-settleBefore)+fmt.Sprintf(format, args...))
 	}
 }
 
@@ -79,7 +79,7 @@
 func (a *audit) gaveUp(r *running, f *failure.Failure) {
 	texts := &a.w.result.FailureTexts
 	if len(*texts) < maxViolationTexts {
-		*texts = append(*texts, fmt.Sprintf("%s: %s call %d: %s", a.w.now-settleBefore, r.p.Name, r.at, f))
+		*texts = append(*texts, fmt.Sprintf("%s: %s call %d: %s", a.w.Now()-settleBefore, r.p.Name, r.at, f))
 	}
 	if f.Ran != failure.RanNo || r.id == "" {
 		return
--- a/ctl/replay/callers.go
+++ b/ctl/replay/callers.go
@@ -7,6 +7,7 @@
 	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/core/host"
 	"github.com/pistachioarch/pistachioarch/core/ident"
+	"github.com/pistachioarch/pistachioarch/ctl/simclock"
 )
 
 // Behaviour of callers and of the entry hosts' routing in a replay.
@@ -45,10 +46,10 @@
 	for _, p := range w.trace.Programs {
 		r := &running{c: c, p: p}
 		c.programs[p.Name] = r
-		w.after(settleBefore+ms(p.AtMS), r.open)
+		w.After(settleBefore+simclock.Milliseconds(p.AtMS), r.open)
 	}
 	for _, f := range w.trace.Faults {
-		w.after(settleBefore+ms(f.AtMS), func() { w.fault(f) })
+		w.After(settleBefore+simclock.Milliseconds(f.AtMS), func() { w.fault(f) })
 	}
 	return c
 }
@@ -97,7 +98,7 @@
 		parent = p.id
 	}
 	if r.begun == 0 {
-		r.begun = r.c.w.now
+		r.begun = r.c.w.Now()
 		r.giveUp = r.begun + callerPatience
 	}
 	first := r.p.Calls[0]
@@ -139,30 +140,30 @@
 	r.c.w.audit.answered(r, l, out)
 	r.c.w.result.Answered++
 	r.at++
-	r.giveUp = r.c.w.now + callerPatience
+	r.giveUp = r.c.w.Now() + callerPatience
 	if l.Last || r.at == len(r.p.Calls) {
 		r.finish()
 		return
 	}
-	r.paused += ms(l.PauseMS)
-	r.c.w.after(ms(l.PauseMS), r.call)
+	r.paused += simclock.Milliseconds(l.PauseMS)
+	r.c.w.After(simclock.Milliseconds(l.PauseMS), r.call)
 }
 
 // retry tries a call again unless its failure is final.
 func (r *running) retry(f *failure.Failure, again func()) {
 	final := f.RetryAfter == 0 && f.Kind != failure.PeerUnavailable
-	if final || r.c.w.now > r.giveUp {
+	if final || r.c.w.Now() > r.giveUp {
 		r.end(f)
 		return
 	}
-	r.c.w.after(max(callerRetry, f.RetryAfter), again)
+	r.c.w.After(max(callerRetry, f.RetryAfter), again)
 }
 
 // finish counts a program that got all its answers.
 func (r *running) finish() {
 	w := r.c.w
 	w.result.Completed++
-	w.result.latencies = append(w.result.latencies, w.now-r.begun-r.paused)
+	w.result.latencies = append(w.result.latencies, w.Now()-r.begun-r.paused)
 	r.close()
 }
 
@@ -196,7 +197,7 @@
 		return &host.EndProgram{Waiter: waiter, Caller: first.Caller, Program: r.id}
 	}, func(out host.Outcome) {
 		if out.Failure != nil && out.Failure.Kind != failure.UnknownProgram {
-			r.c.w.after(time.Second, r.askEnd)
+			r.c.w.After(time.Second, r.askEnd)
 		}
 	})
 }
@@ -205,17 +206,17 @@
 // the outcome back.
 func (r *running) ask(dc string, program ident.Program, make func(waiter uint64) host.Event, done func(host.Outcome)) {
 	w := r.c.w
-	client := ms(w.trace.Header.ClientMS)
+	client := simclock.Milliseconds(w.trace.Header.ClientMS)
 	e := r.c.balance(dc)
 	if e == nil {
-		w.after(callerRetry, func() {
+		w.After(callerRetry, func() {
 			done(host.Outcome{Failure: failure.Retry(failure.PeerUnavailable, callerRetry, "no host answers")})
 		})
 		return
 	}
-	w.after(client, func() {
-		rt := &routing{w: w, entry: e, life: e.life, program: program, make: make, until: w.now + forwardPatience}
-		rt.done = func(out host.Outcome) { w.after(client, func() { done(out) }) }
+	w.After(client, func() {
+		rt := &routing{w: w, entry: e, life: e.life, program: program, make: make, until: w.Now() + forwardPatience}
+		rt.done = func(out host.Outcome) { w.After(client, func() { done(out) }) }
 		rt.try()
 	})
 }
@@ -250,7 +251,7 @@
 	to.later(delay, func() {
 		to.next++
 		id := to.next
-		to.waiters[id] = func(out host.Outcome) { rt.w.after(delay, func() { rt.outcome(out) }) }
+		to.waiters[id] = func(out host.Outcome) { rt.w.After(delay, func() { rt.outcome(out) }) }
 		to.step(rt.make(id))
 	})
 }
@@ -286,8 +287,8 @@
 }
 
 func (rt *routing) again(f *failure.Failure) {
-	if rt.w.now < rt.until {
-		rt.w.after(forwardRetry, rt.try)
+	if rt.w.Now() < rt.until {
+		rt.w.After(forwardRetry, rt.try)
 		return
 	}
 	g := *f
--- a/ctl/replay/engine.go
+++ b/ctl/replay/engine.go
@@ -6,6 +6,7 @@
 
 	"github.com/pistachioarch/pistachioarch/core/host"
 	"github.com/pistachioarch/pistachioarch/core/ident"
+	"github.com/pistachioarch/pistachioarch/ctl/simclock"
 )
 
 // engine models a model engine.
@@ -92,9 +93,9 @@
 	cached := min(e.cache[program], history)
 	e.w.recomputed(history - cached)
 	e.keep(program, total)
-	took := ms(e.header.PrefillMS)*time.Duration(total-cached) + ms(e.header.DecodeMS)*time.Duration(c.output)
+	took := simclock.Milliseconds(e.header.PrefillMS)*time.Duration(total-cached) + simclock.Milliseconds(e.header.DecodeMS)*time.Duration(c.output)
 	birth := e.birth
-	e.w.after(took, func() {
+	e.w.After(took, func() {
 		if birth != e.birth || !slices.Contains(e.running, c) {
 			return
 		}
@@ -106,7 +107,7 @@
 func (e *engine) complete(c *engineCall, u host.Usage) {
 	if e.frozen {
 		birth := e.birth
-		e.w.after(time.Second, func() {
+		e.w.After(time.Second, func() {
 			if birth == e.birth && slices.Contains(e.running, c) {
 				e.complete(c, u)
 			}
@@ -165,7 +166,7 @@
 		return
 	}
 	if end, over := e.ended[program]; over {
-		e.w.held(tokens, e.w.now-end)
+		e.w.held(tokens, e.w.Now()-end)
 		delete(e.ended, program)
 	}
 	e.tokens -= tokens
@@ -176,7 +177,7 @@
 // programEnded starts the count of tokens held for nothing.
 func (e *engine) programEnded(program ident.Program) {
 	if _, kept := e.cache[program]; kept {
-		e.ended[program] = e.w.now
+		e.ended[program] = e.w.Now()
 	}
 }
 
@@ -195,12 +196,12 @@
 }
 
 func (e *engine) noteQueue() {
-	e.queued = append(e.queued, queuedAt{e.w.now, len(e.waiting)})
+	e.queued = append(e.queued, queuedAt{e.w.Now(), len(e.waiting)})
 }
 
 // report is the queue as it was report_lag_ms ago.
 func (e *engine) report() int {
-	limit := e.w.now - ms(e.header.ReportLagMS)
+	limit := e.w.Now() - simclock.Milliseconds(e.header.ReportLagMS)
 	last, n := 0, 0
 	for n < len(e.queued) && e.queued[n].at <= limit {
 		last = e.queued[n].n
--- a/ctl/replay/run.go
+++ b/ctl/replay/run.go
@@ -60,12 +60,12 @@
 	if err != nil {
 		return nil, err
 	}
-	for w.callers.left > 0 && w.now < maxReplay && w.step() {
+	for w.callers.left > 0 && w.Now() < maxReplay && w.Step() {
 	}
 	if w.callers.left > 0 {
 		return nil, failure.New(failure.OutcomeMissed, "%d programs were not over after %s", w.callers.left, maxReplay)
 	}
-	for end := w.now + settleAfter; w.now < end && w.step(); {
+	for end := w.Now() + settleAfter; w.Now() < end && w.Step(); {
 	}
 	w.audit.close()
 	return w.finish(), nil
@@ -78,7 +78,7 @@
 	r.HeldTokenSeconds = r.heldMS / 1000
 	r.WastedCacheTokens = r.RecomputedTokens + r.HeldTokenSeconds
 	r.PlatformCalls = w.platform.calls
-	r.SimulatedSeconds = w.now.Seconds()
+	r.SimulatedSeconds = w.Now().Seconds()
 	return r
 }
 
--- a/ctl/replay/world.go
+++ b/ctl/replay/world.go
@@ -10,6 +10,7 @@
 	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/core/host"
 	"github.com/pistachioarch/pistachioarch/core/ident"
+	"github.com/pistachioarch/pistachioarch/ctl/simclock"
 )
 
 // Pacing of a replay.
@@ -23,7 +24,7 @@
 
 // world is everything around the decisions of one replay.
 type world struct {
-	clock
+	simclock.Clock
 	trace    *Trace
 	policy   string
 	seed     uint64
@@ -76,7 +77,7 @@
 		}
 	}
 	w.callers = newCallers(w)
-	w.after(reportEvery, w.report)
+	w.After(reportEvery, w.report)
 	return w, nil
 }
 
@@ -92,7 +93,7 @@
 	}
 	for _, t := range w.trace.Header.Targets {
 		fmt.Fprintf(&b, "[target %q]\nservice = %s\ndata_centre = %s\nurl = http://%s\nbatch = %d\ncache_tokens = %d\nprefill = %s\ndecode = %s\nleaving = %v\n",
-			t.Name, t.Service, t.DataCentre, t.Name, t.Batch, t.CacheTokens, ms(t.PrefillMS), ms(t.DecodeMS), w.leaving[t.Name])
+			t.Name, t.Service, t.DataCentre, t.Name, t.Batch, t.CacheTokens, simclock.Milliseconds(t.PrefillMS), simclock.Milliseconds(t.DecodeMS), w.leaving[t.Name])
 	}
 	w.config++
 	body, err := json.Marshal(host.ConfigObject{Version: w.config, Nonce: "replay", Text: b.String()})
@@ -104,7 +105,7 @@
 		func(r *host.PlatformReply) { status = r.Status })
 	if status != host.OpOK { // the platform is down: the operator tries again
 		w.config--
-		w.after(time.Second, func() { _ = w.declare() }) // the text was encoded once
+		w.After(time.Second, func() { _ = w.declare() }) // the text was encoded once
 	}
 	return nil
 }
@@ -144,13 +145,13 @@
 		return
 	}
 	e.step(&host.Tick{})
-	e.w.after(tickEvery, func() { e.tick(life) })
+	e.w.After(tickEvery, func() { e.tick(life) })
 }
 
 // later runs f after a delay if this incarnation still lives.
 func (e *entry) later(d time.Duration, f func()) {
 	life := e.life
-	e.w.after(d, func() {
+	e.w.After(d, func() {
 		if e.alive && life == e.life {
 			f()
 		}
@@ -162,7 +163,7 @@
 		return
 	}
 	e.steps++
-	e.machine.Step(e.w.now, ev)
+	e.machine.Step(e.w.Now(), ev)
 	rd := e.machine.Ready()
 	lost := rd.Lost
 	e.carryOut(rd)
@@ -174,7 +175,7 @@
 // restart begins again after another member took this one's place.
 func (e *entry) restart() {
 	e.alive = false
-	e.w.after(nearDelay, func() { _ = e.start() }) // the settings were checked at the first start
+	e.w.After(nearDelay, func() { _ = e.start() }) // the settings were checked at the first start
 }
 
 func (e *entry) carryOut(rd *host.Ready) {
@@ -240,7 +241,7 @@
 	if a == b {
 		return nearDelay
 	}
-	return ms(w.trace.Header.LinkMS)
+	return simclock.Milliseconds(w.trace.Header.LinkMS)
 }
 
 func (e *entry) send(s host.Send) {
@@ -285,7 +286,7 @@
 			}
 		}
 	}
-	w.after(reportEvery, w.report)
+	w.After(reportEvery, w.report)
 }
 
 func (w *world) engineNames() []string {
--- a/ctl/simclock/clock.go
+++ b/ctl/simclock/clock.go
@@ -1,13 +1,15 @@
-package replay
+// Package simclock is a queue of events on virtual time, for models that must play
+// the same way every time.
+package simclock
 
 import (
 	"container/heap"
 	"time"
 )
 
-// clock is a queue of events on virtual time. Events of one time run in the
-// order in which they were added.
-type clock struct {
+// Clock runs events in order of time; events of one time run in the order in which
+// they were added. The zero value is ready. Not safe for concurrent use.
+type Clock struct {
 	now    time.Duration
 	events eventHeap
 	order  uint64
@@ -38,14 +40,17 @@
 	return e
 }
 
-// after runs f once d has passed.
-func (c *clock) after(d time.Duration, f func()) {
+// Now is the time of the event that runs.
+func (c *Clock) Now() time.Duration { return c.now }
+
+// After runs f once d has passed.
+func (c *Clock) After(d time.Duration, f func()) {
 	c.order++
 	heap.Push(&c.events, event{at: c.now + max(0, d), order: c.order, run: f})
 }
 
-// step runs the next event.
-func (c *clock) step() bool {
+// Step runs the next event; it reports false if there is none.
+func (c *Clock) Step() bool {
 	if len(c.events) == 0 {
 		return false
 	}
@@ -55,4 +60,5 @@
 	return true
 }
 
-func ms(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
+// Milliseconds converts a number of milliseconds.
+func Milliseconds(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pistachioarch/pistachioarch/core/balance"
+	"github.com/pistachioarch/pistachioarch/core/dispatch"
 	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/core/request"
 	"github.com/pistachioarch/pistachioarch/core/routing"
@@ -84,18 +85,22 @@
 	return x.route.Kind == routing.Idempotent || x.route.Resumable
 }
 
-// pick chooses the next target.
+// pick chooses the next target, or turns the request away.
 func (x *exchange) pick() (balance.Listed, error) {
 	h := x.host
 	h.mu.Lock()
-	c, ok := h.registry.Pick(balance.Query{
-		Service: x.service, Parts: x.call.Prefix, PromptTokens: x.call.PromptTokens, Exclude: x.tried,
+	v := h.dispatch.Decide(dispatch.Request{
+		Query: balance.Query{
+			Service: x.service, Parts: x.call.Prefix, PromptTokens: x.call.PromptTokens, Exclude: x.tried,
+		},
+		UnderWay: !x.isTurn() || x.underWay || x.sends > 0, Draw: x.draw(),
 	}, h.now())
-	if !ok {
+	if v.Decision != dispatch.Send {
 		size := h.registry.Size()
 		h.mu.Unlock()
-		return balance.Listed{}, failure.Retry(failure.NoTarget, retryLater, "no target of %s among %d", x.service, size)
+		return balance.Listed{}, x.unsent(v, size)
 	}
+	c := v.Choice
 	listed := c.Listed
 	c.Sent(x.call.Prefix, h.now())
 	h.mu.Unlock()
@@ -108,6 +113,17 @@
 	return listed, nil
 }
 
+// unsent is the failure of a request that goes to no target.
+func (x *exchange) unsent(v dispatch.Verdict, targets int) error {
+	if v.Decision == dispatch.NoTarget {
+		return failure.Retry(failure.NoTarget, retryLater, "no target of %s among %d", x.service, targets)
+	}
+	x.host.Meter.Count("turned_away", "full")
+	x.host.Log.Info("program turned away", "request", x.call.ID, "program", x.call.Program, "service", x.service,
+		"load_percent", int(100*v.Load), "come_back_ms", v.ComeBack.Milliseconds(), "program_left_ms", x.call.ProgramLeft.Milliseconds())
+	return failure.Retry(failure.Overloaded, v.ComeBack, "the engines of %s have a queue, load %.2f", x.service, v.Load)
+}
+
 // hasOther reports whether there is a target that has not been tried.
 func (x *exchange) hasOther() bool {
 	h := x.host
--- a/daemon/entry/handle.go
+++ b/daemon/entry/handle.go
@@ -34,7 +34,9 @@
 	answered  bool
 	firstByte time.Time
 	turn      *turn
-	target    string
+	// underWay reports that the program has had an answer before.
+	underWay bool
+	target   string
 	// sent is when the request went to target.
 	sent time.Time
 }
--- a/daemon/entry/host.go
+++ b/daemon/entry/host.go
@@ -12,6 +12,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/pistachioarch/pistachioarch/core/balance"
+	"github.com/pistachioarch/pistachioarch/core/dispatch"
 	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/core/request"
 	"github.com/pistachioarch/pistachioarch/core/routing"
@@ -67,6 +68,7 @@
 
 	mu        sync.Mutex
 	registry  *balance.Registry
+	dispatch  *dispatch.Dispatcher
 	admission *balance.Admission
 
 	draining atomic.Bool
@@ -76,12 +78,14 @@
 
 // New returns a host without configuration and targets.
 func New(o Options) *Host {
+	registry := balance.NewRegistry(o.DataCentre, balance.DefaultWeights())
 	h := &Host{
 		Options:    o,
 		configured: make(chan struct{}),
 		pool:       targetpool.New(o.Dialer),
 		start:      time.Now(),
-		registry:   balance.NewRegistry(o.DataCentre, balance.DefaultWeights()),
+		registry:   registry,
+		dispatch:   dispatch.New(registry, dispatch.DefaultLimits()),
 		admission:  balance.NewAdmission(o.MemoryBytes, o.Descriptors),
 	}
 	h.reach = newReach(h)
--- a/daemon/entry/turn.go
+++ b/daemon/entry/turn.go
@@ -98,6 +98,7 @@
 	if past, err = t.afford(ctx, past); err != nil {
 		return err
 	}
+	x.underWay = x.call.Previous != "" || past.Usage.Without(x.call.ID) > 0
 	return t.prepend(ctx, past.Chain, past.Elsewhere)
 }
 
