history: when a crowded data centre is cut off, the others go on; load is weighed by the engines' own slowdown

Change (core/placement/span.go): a crowded slot spans: writes also need the replicas outside, which first copy what they missed. Nothing acknowledged hangs on one disk.

Second change: the cost of load is learned from streams (core/balance/slowdown.go).

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -71,7 +71,8 @@
 	paced   float64
 	pacedAt time.Duration
 	// prompt is the running mean of prompts, in tokens.
-	prompt float64
+	prompt   float64
+	slowdown slowdown
 }
 
 // promptStep is the weight of one prompt in the mean.
@@ -328,7 +329,7 @@
 	if q.PromptTokens == 0 {
 		return load
 	}
-	return r.weights.Busy*min(load, 1) + r.weights.Wait*max(0, load-1+1/places)
+	return r.weights.Busy*r.of(t.Service).slowdown.busy()*min(load, 1) + r.weights.Wait*max(0, load-1+1/places)
 }
 
 func (r *Registry) cost(t *Target, q Query, s *service, fastest float64, now time.Duration) float64 {
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -71,6 +71,7 @@
 func TestPickFollowsThePrefixUnlessItsTargetHasALongQueue(t *testing.T) {
 	r := registryOf(3)
 	q := prompt("shared", "session")
+	stream(r, 40*time.Millisecond, 44*time.Millisecond)
 	target(t, r, "t1").Sent(q.Parts, 0)
 	target(t, r, "t1").Done(Served, 0)
 	require.Equal(t, "t1", pick(t, r, q))
@@ -80,6 +81,45 @@
 	require.NotEqual(t, "t1", pick(t, r, q))
 }
 
+// stream tells the registry of streams at loads from none to full, whose events took
+// idle to full.
+func stream(r *Registry, idle, full time.Duration) {
+	for i := range 40 {
+		load := float64(i%5) / 4
+		r.Streamed("t0", load, idle+time.Duration(load*float64(full-idle)), 0)
+	}
+}
+
+// Engines of two deployments: a full one takes 1.1 times as long for a token, or four
+// times. The first is worth staying at for a prompt that it has, the second is not.
+func TestCostOfLoadFollowsWhatIsSeen(t *testing.T) {
+	for full, stays := range map[time.Duration]bool{44 * time.Millisecond: true, 160 * time.Millisecond: false} {
+		r := registryOf(3)
+		q := prompt("shared", "session")
+		stream(r, 40*time.Millisecond, full)
+		target(t, r, "t1").Sent(q.Parts, 0)
+		target(t, r, "t1").Done(Served, 0)
+		target(t, r, "t1").Heard(request.Load{Running: 10, Places: 10}, 0)
+		require.Equal(t, stays, pick(t, r, q) == "t1", "full %v", full)
+	}
+}
+
+func TestSlowdownIsFoundFromStreams(t *testing.T) {
+	var s slowdown
+	require.InDelta(t, slowdownAssumed, s.busy(), 0)
+	for range 60 {
+		s.observe(0.5, 40)
+	}
+	require.InDelta(t, slowdownAssumed, s.busy(), 0, "one load tells nothing of another")
+	for i := range 200 {
+		load := float64(i%11) / 10
+		s.observe(load, 20+60*load)
+	}
+	require.InDelta(t, 0.75, s.busy(), 0.05)
+	require.InDelta(t, 50, s.usual(0.5), 5)
+	require.InDelta(t, s.usual(1), s.usual(3), 0, "a queue does not slow the batch")
+}
+
 func TestHostsAgreeOnTheHomesOfASharedPart(t *testing.T) {
 	a, b := registryOf(12), registryOf(12)
 	for _, r := range []*Registry{a, b} {
--- a/core/balance/pace.go
+++ b/core/balance/pace.go
@@ -66,6 +66,20 @@
 	r.typical[work] = typical + typicalStep*(min(float64(d), paceMost*typical)-typical)
 }
 
+// Streamed notes how long the target took for one event of a stream that was sent
+// to it at a load, in places.
+func (r *Registry) Streamed(target string, load float64, d time.Duration, now time.Duration) {
+	t := r.targets[target]
+	if t == nil || d <= 0 {
+		return
+	}
+	s := r.of(t.Service)
+	if usual := s.slowdown.usual(load); usual > 0 {
+		t.pace.observe(float64(d)/usual, now)
+	}
+	s.slowdown.observe(load, float64(d))
+}
+
 // fastest is the lowest ratio among the targets of a service.
 func (s *service) fastest(now time.Duration) float64 {
 	if s.pacedAt > 0 && now-s.pacedAt < pacesEvery {
--- a/core/balance/weights.go
+++ b/core/balance/weights.go
@@ -9,8 +9,8 @@
 // units more than one that is nearly full, and 0.998 with these weights, since each
 // move away from a queue of some requests makes another engine read the whole prompt.
 type Weights struct {
-	// Busy is the cost of an engine whose places are all taken: its steps are that much
-	// slower, some tenths.
+	// Busy weighs how much slower an engine is whose places are all taken; see
+	// slowdown.
 	Busy float64
 	// Wait is the cost of a queue as long as the engine has places.
 	Wait float64
@@ -30,14 +30,14 @@
 
 // DefaultWeights returns the measured defaults.
 func DefaultWeights() Weights {
-	return Weights{Busy: 0.1, Wait: 0.7, Prefill: 1, Far: 0.1, Fault: 0.4, Homes: true, Pace: true}
+	return Weights{Busy: 1, Wait: 0.7, Prefill: 1, Far: 0.1, Fault: 0.4, Homes: true, Pace: true}
 }
 
 // FormerWeights are those of the way before, as a baseline: a target without a free
 // place costs two more.
 func FormerWeights() Weights {
 	w := DefaultWeights()
-	w.Busy, w.Wait, w.Prefill = 1, 24, 1.5
+	w.Wait, w.Prefill = 24, 1.5
 	return w
 }
 
--- a/core/placement/change.go
+++ b/core/placement/change.go
@@ -72,7 +72,7 @@
 // movable reports whether the replica of from in slot i may be replaced now.
 func (m *Map) movable(i int, from string) bool {
 	s := &m.Slots[i]
-	if _, in := s.Replica(from); !in {
+	if _, in := s.Replica(from); !in || s.Guarded {
 		return false
 	}
 	for _, r := range s.Replicas {
@@ -94,22 +94,30 @@
 		}
 		s.Replicas[j] = Replica{Member: to, Joining: true}
 	}
+	s.unspan()
 	s.Changed = m.Epoch
 }
 
-// Activate marks a joining replica of the slots as active; it has copied them
+// Activate marks a replica of the slots that has to copy them as active; it has copied them
 // under the epoch given for each. A slot that has changed since is left out.
 func (m *Map) Activate(member string, copied map[int]uint64) bool {
 	changed := false
 	for i, epoch := range copied {
 		s := &m.Slots[i]
-		at := slices.IndexFunc(s.Replicas, func(r Replica) bool { return r.Member == member && r.Joining })
+		at := slices.IndexFunc(s.Replicas, func(r Replica) bool { return r.Member == member && r.Copies() })
 		if at < 0 || s.Changed != epoch {
 			continue
 		}
-		s.Replicas[at].Joining = false
+		if s.Guarded && s.Replicas[at].Joining && !s.Replicas[at].Required {
+			continue
+		}
+		s.Replicas[at] = Replica{Member: member}
 		s.Former = ""
 		changed = true
+		if s.Guarded && s.Active() >= m.Quorum() {
+			s.Guarded = false
+			s.Changed = m.Epoch + 1 // writers that still count on the guard are refused
+		}
 	}
 	if changed {
 		m.Epoch++
@@ -121,6 +129,9 @@
 // how many of them it needs: as many as surely hold every acknowledged write.
 func (m *Map) Sources(i int, member string) (from []string, need int) {
 	s := &m.Slots[i]
+	if s.Active() == 0 && s.Guarded {
+		return s.demoted(member)
+	}
 	for _, r := range s.Replicas {
 		if !r.Joining && r.Member != member {
 			from = append(from, r.Member)
@@ -132,6 +143,17 @@
 	return from, min(m.Quorum(), len(from))
 }
 
+// demoted returns the replicas that together have what was acknowledged before the
+// slot was guarded; all of them are needed.
+func (s *Slot) demoted(but string) (from []string, need int) {
+	for _, r := range s.Replicas {
+		if r.Demoted && r.Member != but {
+			from = append(from, r.Member)
+		}
+	}
+	return from, len(from)
+}
+
 // Holds reports whether member has a place in any slot, or may still be needed
 // as a source.
 func (m *Map) Holds(member string) bool {
--- /dev/null
+++ b/core/placement/check_test.go
@@ -0,0 +1,573 @@
+package placement
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/bits"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The checker visits all interleavings, up to a number of states, of one slot whose
+// replicas lie on two disks of data centre a and one of data centre c: cuts, heals, a lost disk, map changes,
+// adoptions, copies, and turns that write and read from either side. It asserts of
+// every two turns that are over
+//
+//   - that one that began after the other was acknowledged has seen it;
+//   - that at least one has seen the other: together they never overspend a budget;
+//
+// and that no acknowledged record is lost.
+type checker struct {
+	t     *testing.T
+	maps  []*Map // by number
+	known map[string]int
+	// tidyEarly is a seeded fault: kept records go while slots are guarded.
+	tidyEarly bool
+	// tidyStale is a seeded fault: a member with an old map removes what is kept under a
+	// newer one.
+	tidyStale bool
+	// spanless is a seeded fault: demotion does not ask whether the slot spanned.
+	spanless bool
+	// keepless: nothing is kept at the platform.
+	keepless bool
+	// unrequired: a joining replica of a guarded slot becomes active without more.
+	unrequired bool
+	// hasty: a member takes writes made with a newer map than its own.
+	hasty bool
+	fault string
+}
+
+const (
+	checkTurns   = 3
+	checkMembers = 5 // three, and successors of lost disks
+	mostCuts     = 2
+)
+
+// checkState is one state of the world; comparable, so that it is visited once.
+type checkState struct {
+	latest, before int16 // maps at the platform: the newest and the one before
+	members        [checkMembers]checkMember
+	cut            byte // 'a', 'c' or 0
+	cuts           int16
+	lost           bool // a disk was lost
+	turns          [checkTurns]checkTurn
+	// kept is, for each turn, the map by which it lies at the platform, plus one; 0 if
+	// it does not.
+	kept [checkTurns]int16
+}
+
+type checkMember struct {
+	alive   bool
+	adopted int16
+	records uint8
+	copied  uint8 // sources of the copy under way
+	under   int16 // map of that copy
+}
+
+type checkTurn struct {
+	phase   byte // 0 not begun, 1 writing, 2 acknowledged, 3 over
+	with    int16
+	acks    uint8 // members
+	after   uint8 // turns that were acknowledged when it began
+	saw     uint8
+	carried uint8 // members that the write has reached or will not reach
+}
+
+var checkPlaces = [checkMembers]string{"a", "a", "c", "", ""}
+
+func (c *checker) id(i int) string { return fmt.Sprintf("m%d", i) }
+
+// centre returns the data centre of a member; a successor is where its host is.
+func (c *checker) centre(s *checkState, i int) string {
+	if i < 3 {
+		return checkPlaces[i]
+	}
+	return c.maps[s.latest].Members[c.id(i)].DataCentre
+}
+
+// place returns where the caller's host of a turn is.
+func place(turn int) string { return []string{"a", "c", "b"}[turn] }
+
+func (s *checkState) together(a, b string) bool {
+	return a == b || s.cut == 0 || string(s.cut) != a && string(s.cut) != b
+}
+
+func (s *checkState) platform(centre string) bool { return s.cut == 0 || string(s.cut) != centre }
+
+func (c *checker) number(m *Map) int16 {
+	text, err := json.Marshal(m)
+	require.NoError(c.t, err)
+	if n, ok := c.known[string(text)]; ok {
+		return int16(n)
+	}
+	c.maps = append(c.maps, m)
+	c.known[string(text)] = len(c.maps) - 1
+	require.Less(c.t, len(c.maps), 1<<15)
+	return int16(len(c.maps) - 1)
+}
+
+func (c *checker) slot(n int16) *Slot { return &c.maps[n].Slots[0] }
+
+// first is the state in which all replicas are active, and the slot is crowded.
+func (c *checker) first() checkState {
+	m := &Map{Epoch: 1, Faults: 1, Members: map[string]Member{}, Slots: make([]Slot, 1)}
+	for i := range 3 {
+		m.Members[c.id(i)] = Member{ID: c.id(i), Host: c.id(i), DataCentre: checkPlaces[i]}
+	}
+	m.Assign()
+	s := checkState{latest: c.number(m)}
+	s.before = s.latest
+	for i := range 3 {
+		s.members[i] = checkMember{alive: true, adopted: s.latest}
+	}
+	return s
+}
+
+// spanned is the state in which the slot spans and the replica outside has copied it.
+func (c *checker) spanned() checkState {
+	s := c.first()
+	s, ok := c.change(s, func(m *Map) bool { return m.Spanning() })
+	require.True(c.t, ok)
+	s, ok = c.change(s, func(m *Map) bool { return m.Activate("m2", map[int]uint64{0: m.Slots[0].Changed}) })
+	require.True(c.t, ok)
+	s.before = s.latest
+	for i := range 3 {
+		s.members[i].adopted = s.latest
+	}
+	return s
+}
+
+// demoted is the state in which the crowded data centre is cut off, and the replica
+// outside has taken over.
+func (c *checker) demoted() checkState {
+	s := c.spanned()
+	s.cut, s.cuts = 'a', 1
+	s, ok := c.change(s, func(m *Map) bool { return m.Demote(map[string]bool{"m0": true, "m1": true}) })
+	require.True(c.t, ok)
+	s.members[2].adopted = s.latest
+	return s
+}
+
+// change applies a change of the map by a member.
+func (c *checker) change(s checkState, apply func(*Map) bool) (checkState, bool) {
+	m := c.maps[s.latest].Clone()
+	if !apply(m) {
+		return s, false
+	}
+	s.before, s.latest = s.latest, c.number(m)
+	return s, true
+}
+
+// next returns all states that may follow.
+func (c *checker) next(s checkState) []checkState {
+	var list []checkState
+	add := func(n checkState, ok bool) {
+		if ok {
+			list = append(list, n)
+		}
+	}
+	if s.cut != 0 {
+		n := s
+		n.cut = 0
+		add(n, true)
+	} else if s.cuts < mostCuts {
+		for _, centre := range []byte{'a', 'c'} {
+			n := s
+			n.cut, n.cuts = centre, s.cuts+1
+			add(n, true)
+		}
+	}
+	for i := range checkMembers {
+		list = append(list, c.memberSteps(s, i)...)
+	}
+	for t := range checkTurns {
+		list = append(list, c.turnSteps(s, t)...)
+	}
+	return list
+}
+
+func (c *checker) memberSteps(s checkState, i int) []checkState {
+	x := s.members[i]
+	if !x.alive {
+		return nil
+	}
+	var list []checkState
+	add := func(n checkState, ok bool) {
+		if ok {
+			list = append(list, n)
+		}
+	}
+	if !s.lost {
+		add(c.lose(s, i))
+	}
+	centre := c.centre(&s, i)
+	if !s.platform(centre) {
+		return list
+	}
+	add(c.tidy(s, x.adopted))
+	if x.adopted != s.latest {
+		n := s
+		n.members[i].adopted = s.latest
+		add(n, true)
+		return list // a keeper acts on the newest map
+	}
+	silent := map[string]bool{}
+	for j := range checkMembers {
+		_, in := c.maps[s.latest].Members[c.id(j)]
+		if in && (!s.members[j].alive || !s.together(centre, c.centre(&s, j))) {
+			silent[c.id(j)] = true
+		}
+	}
+	if len(silent) == 0 {
+		add(c.change(s, func(m *Map) bool { return m.Spanning() }))
+	}
+	add(c.change(s, func(m *Map) bool {
+		if c.spanless {
+			for k := range m.Slots {
+				m.Slots[k].Span = true
+				for j := range m.Slots[k].Replicas {
+					m.Slots[k].Replicas[j].Syncing = false
+				}
+			}
+		}
+		return m.Demote(silent)
+	}))
+	add(c.change(s, func(m *Map) bool { return m.Unspan(silent) }))
+	add(c.change(s, func(m *Map) bool { return m.Require(c.id(i)) }))
+	list = append(list, c.copies(s, i)...)
+	return list
+}
+
+// tidy removes what is kept at the platform as far as a member's own map allows it.
+func (c *checker) tidy(s checkState, own int16) (n checkState, changed bool) {
+	n = s
+	if c.maps[own].AnyGuarded() && !c.tidyEarly {
+		return n, false
+	}
+	for t, by := range s.kept {
+		if by > 0 && (c.maps[by-1].Epoch <= c.maps[own].Epoch || c.tidyStale) {
+			n.kept[t] = 0
+			changed = true
+		}
+	}
+	return n, changed
+}
+
+// keptRecords are the records at the platform.
+func (s *checkState) keptRecords() (set uint8) {
+	for t, by := range s.kept {
+		if by > 0 {
+			set |= 1 << t
+		}
+	}
+	return set
+}
+
+// lose wipes a disk; its host comes back with an empty one, as another member.
+func (c *checker) lose(s checkState, i int) (checkState, bool) {
+	old := c.maps[s.latest].Members[c.id(i)]
+	successor := slices.IndexFunc(s.members[3:], func(x checkMember) bool { return !x.alive }) + 3
+	if !s.platform(old.DataCentre) {
+		return s, false
+	}
+	s.lost = true
+	s.members[i] = checkMember{}
+	n, ok := c.change(s, func(m *Map) bool {
+		return m.Admit(Member{ID: c.id(successor), Host: old.Host, DataCentre: old.DataCentre})
+	})
+	n.members[successor] = checkMember{alive: true, adopted: n.latest}
+	return n, ok
+}
+
+// copies lets a joining member copy from one more source, and become active.
+func (c *checker) copies(s checkState, i int) []checkState {
+	m := c.maps[s.latest]
+	r, in := m.Slots[0].Replica(c.id(i))
+	if !in || !r.Copies() {
+		return nil
+	}
+	var list []checkState
+	from, need := m.Sources(0, c.id(i))
+	x := s.members[i]
+	if x.under != s.latest {
+		x.under, x.copied = s.latest, 0
+	}
+	if m.Slots[0].Guarded && m.Slots[0].Active() == 0 {
+		x.records |= s.keptRecords()
+	}
+	for j := range checkMembers {
+		y := s.members[j]
+		if !slices.Contains(from, c.id(j)) || !y.alive || y.adopted != s.latest || !s.together(c.centre(&s, i), c.centre(&s, j)) || x.copied&(1<<j) != 0 {
+			continue
+		}
+		n := s
+		n.members[i] = x
+		n.members[i].records |= y.records
+		n.members[i].copied |= 1 << j
+		list = append(list, n)
+	}
+	if bits.OnesCount8(x.copied) >= need && need > 0 {
+		n, ok := c.change(s, func(m *Map) bool {
+			if c.unrequired {
+				at := slices.IndexFunc(m.Slots[0].Replicas, func(r Replica) bool { return r.Member == c.id(i) })
+				m.Slots[0].Replicas[at].Required = true
+			}
+			return m.Activate(c.id(i), map[int]uint64{0: m.Slots[0].Changed})
+		})
+		n.members[i] = x
+		if ok {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+// accepts reports whether a member serves a request made with a map.
+func (c *checker) accepts(s *checkState, i int, with int16) bool {
+	x := s.members[i]
+	return x.alive && c.maps[with].Epoch >= c.slot(x.adopted).Changed
+}
+
+// behind reports whether a member must not serve a write made with a newer map than
+// its own.
+func (c *checker) behind(s *checkState, i int, with int16) bool {
+	own := s.members[i].adopted
+	return !c.hasty && c.maps[with].Epoch > c.maps[own].Epoch && c.maps[own].MayBeGuarded(0)
+}
+
+func (c *checker) turnSteps(s checkState, t int) []checkState {
+	var list []checkState
+	switch x := s.turns[t]; x.phase {
+	case 0:
+		if t > 0 && s.turns[t-1].phase == 0 {
+			return nil // turns begin in order, to visit less
+		}
+		for _, with := range []int16{s.latest, s.before} {
+			n := s
+			n.turns[t] = checkTurn{phase: 1, with: with}
+			for u := range checkTurns {
+				if s.turns[u].phase >= 2 {
+					n.turns[t].after |= 1 << u
+				}
+			}
+			list = append(list, n)
+			if s.latest == s.before {
+				break
+			}
+		}
+	case 1:
+		for i := range checkMembers {
+			list = append(list, c.deliver(s, t, i)...)
+		}
+	case 2:
+		for _, with := range []int16{x.with, s.latest} {
+			list = append(list, c.reads(s, t, with)...)
+			if x.with == s.latest {
+				break
+			}
+		}
+	}
+	return list
+}
+
+// deliver brings the write of a turn to a member.
+func (c *checker) deliver(s checkState, t, i int) []checkState {
+	x := s.turns[t]
+	_, in := c.slot(x.with).Replica(c.id(i))
+	if !in || x.carried&(1<<i) != 0 || !s.together(place(t), c.centre(&s, i)) || !c.accepts(&s, i, x.with) || c.behind(&s, i, x.with) {
+		return nil
+	}
+	n := s
+	n.turns[t].carried |= 1 << i
+	n.members[i].records |= 1 << t
+	own, holds := c.slot(s.members[i].adopted).Replica(c.id(i))
+	if holds && !own.Joining && !c.keepless && c.maps[s.members[i].adopted].Kept(0) {
+		if !s.platform(c.centre(&s, i)) {
+			return []checkState{n} // on disk, and not acknowledged
+		}
+		n.kept[t] = s.members[i].adopted + 1
+	}
+	n.turns[t].acks |= 1 << i
+	acks := map[string]bool{}
+	for j := range checkMembers {
+		acks[c.id(j)] = n.turns[t].acks&(1<<j) != 0
+	}
+	if c.maps[x.with].Written(c.slot(x.with), acks) {
+		n.turns[t].phase = 2
+	}
+	return []checkState{n}
+}
+
+// reads ends a turn with every complete reading that it may get.
+func (c *checker) reads(s checkState, t int, with int16) []checkState {
+	slot := c.slot(with)
+	var can []int
+	for i := range checkMembers {
+		r, in := slot.Replica(c.id(i))
+		if in && !r.Joining && s.together(place(t), c.centre(&s, i)) && c.accepts(&s, i, with) {
+			can = append(can, i)
+		}
+	}
+	need := c.maps[with].ReadQuorum(slot)
+	var list []checkState
+	for set := range 1 << len(can) {
+		if bits.OnesCount(uint(set)) != need {
+			continue
+		}
+		n := s
+		n.turns[t].phase = 3
+		for k, i := range can {
+			if set&(1<<k) != 0 {
+				n.turns[t].saw |= s.members[i].records
+			}
+		}
+		list = append(list, n)
+	}
+	return list
+}
+
+// wrong returns what does not hold in a state.
+func (c *checker) wrong(s checkState) string {
+	for t := range checkTurns {
+		x := s.turns[t]
+		if x.phase >= 2 && !c.held(&s, t) {
+			return fmt.Sprintf("turn %d is lost", t)
+		}
+		if x.phase != 3 {
+			continue
+		}
+		if x.after&^x.saw != 0 {
+			return fmt.Sprintf("turn %d did not see one that was acknowledged before it began: %03b", t, x.after&^x.saw)
+		}
+		for u := range t {
+			if s.turns[u].phase == 3 && x.saw&(1<<u) == 0 && s.turns[u].saw&(1<<t) == 0 {
+				return fmt.Sprintf("turns %d and %d did not see each other", u, t)
+			}
+		}
+	}
+	return ""
+}
+
+// held reports whether a record is on some disk or kept at the platform.
+func (c *checker) held(s *checkState, t int) bool {
+	held := s.keptRecords()
+	for _, x := range s.members {
+		if x.alive {
+			held |= x.records
+		}
+	}
+	return held&(1<<t) != 0
+}
+
+// run visits states in order of their distance, up to a number of them, and returns
+// how many, and the way to the first that is wrong.
+func (c *checker) run(from func() checkState, most int) (visited int, way []checkState) {
+	start := from()
+	cameFrom := map[checkState]checkState{start: start}
+	queue := []checkState{start}
+	for len(queue) > 0 && len(cameFrom) < most {
+		s := queue[0]
+		queue = queue[1:]
+		for _, n := range c.next(s) {
+			if _, seen := cameFrom[n]; seen {
+				continue
+			}
+			cameFrom[n] = s
+			if c.fault = c.wrong(n); c.fault != "" {
+				for n != start {
+					way = append(way, n)
+					n = cameFrom[n]
+				}
+				slices.Reverse(way)
+				return len(cameFrom), way
+			}
+			queue = append(queue, n)
+		}
+	}
+	return len(cameFrom), nil
+}
+
+func (c *checker) explain(way []checkState) string {
+	out := c.fault + "\n"
+	for _, s := range way {
+		out += fmt.Sprintf("cut %c, map %d %+v, members %+v, turns %+v, kept %v\n", max(s.cut, '-'), s.latest, *c.slot(s.latest), s.members, s.turns, s.kept)
+	}
+	return out
+}
+
+// checkStates is how many states CI visits, in some 15 s; PLACEMENT_STATES sets another
+// number for a deeper run by hand.
+const checkStates = 400_000
+
+func statesToVisit(t *testing.T) int {
+	text, set := os.LookupEnv("PLACEMENT_STATES")
+	if !set {
+		return checkStates
+	}
+	n, err := strconv.Atoi(text)
+	require.NoError(t, err)
+	return n
+}
+
+func newChecker(t *testing.T) *checker { return &checker{t: t, known: map[string]int{}} }
+
+func TestCutsOfCrowdedSlotsKeepWhatIsAcknowledged(t *testing.T) {
+	for name, from := range map[string]func(*checker) checkState{
+		"crowded": (*checker).first, "spanned": (*checker).spanned, "demoted": (*checker).demoted,
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newChecker(t)
+			visited, way := c.run(func() checkState { return from(c) }, statesToVisit(t))
+			t.Logf("%d states, %d maps", visited, len(c.maps))
+			require.Empty(t, way, "%s", c.explain(way))
+		})
+	}
+}
+
+// The checker sees faults that are built in.
+func TestCheckerSeesSeededFaults(t *testing.T) {
+	cases := map[string]struct {
+		seed func(*checker)
+		from func(*checker) checkState
+	}{
+		"a slot that did not span is taken over":              {func(c *checker) { c.spanless = true }, (*checker).first},
+		"kept records go while slots are guarded":             {func(c *checker) { c.tidyEarly = true }, (*checker).demoted},
+		"a member with an old map removes kept records":       {func(c *checker) { c.tidyStale = true }, (*checker).demoted},
+		"nothing is kept at the platform":                     {func(c *checker) { c.keepless = true }, (*checker).demoted},
+		"a member acknowledges by an old map":                 {func(c *checker) { c.hasty = true }, (*checker).spanned},
+		"a joining replica misses writes before it is active": {func(c *checker) { c.unrequired = true }, (*checker).demoted},
+	}
+	for name, x := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newChecker(t)
+			x.seed(c)
+			_, way := c.run(func() checkState { return x.from(c) }, statesToVisit(t))
+			require.NotEmpty(t, way)
+			t.Log(c.explain(way))
+		})
+	}
+}
+
+// After a cut of the crowded data centre the others go on, if the slot was made to
+// span before; without that no part of the hosts can serve.
+func TestTheRestGoesOnWhenTheCrowdedDataCentreIsCutOff(t *testing.T) {
+	for _, spans := range []bool{false, true} {
+		c := newChecker(t)
+		s := c.first()
+		slots := c.maps[s.latest].Clone()
+		if spans {
+			require.True(t, slots.Spanning())
+			require.True(t, slots.Activate("m2", map[int]uint64{0: slots.Slots[0].Changed}))
+		}
+		silent := map[string]bool{"m0": true, "m1": true}
+		changed := slots.Demote(silent)
+		require.Equal(t, spans, changed)
+		left := map[string]bool{"m2": true}
+		require.Equal(t, spans, slots.Written(&slots.Slots[0], left), "the rest serves")
+		require.Equal(t, spans, slots.Kept(0), "and keeps a second copy")
+	}
+}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -37,8 +37,17 @@
 	Member string `json:"member"`
 	// Joining replicas have not copied the slot yet.
 	Joining bool `json:"joining,omitempty"`
+	// Syncing: an active replica copies what it may have missed before its slot spanned.
+	Syncing bool `json:"syncing,omitempty"`
+	// Required: the acknowledgement of a joining replica of a guarded slot is needed.
+	Required bool `json:"required,omitempty"`
+	// Demoted: the replica was left out by Demote and still has what it had.
+	Demoted bool `json:"demoted,omitempty"`
 }
 
+// Copies reports whether the replica has to copy the slot.
+func (r Replica) Copies() bool { return r.Joining || r.Syncing }
+
 // Slot is the replica set of one slot.
 type Slot struct {
 	Replicas []Replica `json:"replicas"`
@@ -47,6 +56,10 @@
 	// Former is the member that a joining replica replaces; it may serve as a
 	// source of the copy.
 	Former string `json:"former,omitempty"`
+	// Span: a write needs all replicas outside of the data centre that crowds the slot.
+	Span bool `json:"span,omitempty"`
+	// Guarded: a write needs all active replicas; see Demote.
+	Guarded bool `json:"guarded,omitempty"`
 }
 
 // Map is the placement of all slots.
@@ -84,6 +97,9 @@
 // still count it and one active replica, so a write then needs a quorum of active
 // ones.
 func (m *Map) Written(s *Slot, acks map[string]bool) bool {
+	if s.Guarded {
+		return guarded(s, acks)
+	}
 	total, active := 0, 0
 	for _, r := range s.Replicas {
 		if !acks[r.Member] {
@@ -99,7 +115,7 @@
 	if s.Former != "" {
 		needed = min(m.Quorum(), s.Active())
 	}
-	return total >= copies && active >= needed
+	return total >= copies && active >= needed && m.spans(s, acks)
 }
 
 // Active counts the replicas that are not joining.
@@ -203,6 +219,7 @@
 			break
 		}
 		m.Slots[i].Replicas = append(m.Slots[i].Replicas, Replica{Member: list[0].ID, Joining: joining})
+		m.Slots[i].unspan()
 		changed = true
 	}
 	return changed
--- a/ctl/player/engine.go
+++ b/ctl/player/engine.go
@@ -38,6 +38,7 @@
 	made    int
 	own     request.Part // what the run adds to its last part
 	first   func(request.Load)
+	event   func() // each TokensPerEvent tokens after the first
 	done    func()
 	dropped bool
 }
@@ -102,6 +103,9 @@
 		if r.made == 1 {
 			r.first(load)
 		}
+		if r.made%e.s.TokensPerEvent == 0 {
+			r.event()
+		}
 		if r.made >= r.tokens && !r.dropped {
 			e.running = slices.DeleteFunc(e.running, func(x *run) bool { return x == r })
 			e.memory.add([]request.Part{r.own})
--- a/ctl/player/host.go
+++ b/ctl/player/host.go
@@ -35,7 +35,8 @@
 // sending is one request at a target.
 type sending struct {
 	target string
-	first  time.Duration // when its first event came
+	load   float64       // of the target when it was sent, in places
+	heard  time.Duration // when its last event came
 	cancel func()
 	fail   func()
 }
@@ -153,12 +154,12 @@
 func (t *turn) send(target *balance.Target) {
 	h, w := t.h, t.h.w
 	e := w.engines[target.ID]
-	target.Sent(t.parts, w.Now())
 	t.tried[target.ID] = true
 	delay := w.link(h.centre, e.centre)
 	way := delay + h.connect(target.ID, delay)
 	r := &run{parts: t.parts, tokens: t.tokens, own: t.own}
-	s := &sending{target: target.ID}
+	s := &sending{target: target.ID, load: float64(target.Load(w.Now())) / float64(max(1, target.Places))}
+	target.Sent(t.parts, w.Now())
 	t.sending = s
 	h.open[s] = true
 	s.cancel = func() { w.After(delay, func() { e.cancel(r) }) }
@@ -169,6 +170,7 @@
 		}
 	}
 	r.first = func(l request.Load) { w.After(delay, func() { t.heard(s, l) }) }
+	r.event = func() { w.After(delay, func() { t.event(s) }) }
 	r.done = func() { w.After(delay, func() { t.whole(s) }) }
 	w.After(way, func() {
 		if w.apart(h.centre, e.centre) {
@@ -224,7 +226,17 @@
 		x.Heard(l, t.h.w.Now())
 	}
 	t.h.w.result.first(t.h.w.Now() - t.began)
-	s.first = t.h.w.Now()
+	s.heard = t.h.w.Now()
+}
+
+// event notes an event after the first.
+func (t *turn) event(s *sending) {
+	if t.over || t.sending != s {
+		return
+	}
+	now := t.h.w.Now()
+	t.h.registry.Streamed(s.target, s.load, now-s.heard, now)
+	s.heard = now
 }
 
 func (t *turn) refused(s *sending) {
@@ -246,7 +258,6 @@
 		return
 	}
 	t.done(balance.Served)
-	t.h.registry.Took(s.target, engineService, (t.h.w.Now()-s.first)/time.Duration(t.tokens), t.h.w.Now())
 	t.h.release(s.target)
 	keep := time.Duration(0)
 	if t.retained {
--- a/ctl/player/settings.go
+++ b/ctl/player/settings.go
@@ -33,6 +33,7 @@
 	Chunk                int
 	ReadPerMs            float64
 	Memory               int
+	TokensPerEvent       int
 	// SpeedSpread is by how much the engines differ, as a share.
 	SpeedSpread float64
 }
@@ -169,7 +170,7 @@
 	switch {
 	case len(f.Centres) == 0 || f.Hosts < 1:
 		return failure.New(failure.Usage, "file %s: no hosts or data centres", path)
-	case f.Engines.Count < 1 || f.Engines.Places < 1 || f.Engines.StepMs <= 0 || f.Engines.ReadPerMs <= 0 || f.Engines.Chunk < 1:
+	case f.Engines.Count < 1 || f.Engines.Places < 1 || f.Engines.StepMs <= 0 || f.Engines.ReadPerMs <= 0 || f.Engines.Chunk < 1 || f.Engines.TokensPerEvent < 1:
 		return failure.New(failure.Usage, "file %s: engines are not fully described", path)
 	case f.Plain.Count < 1 || f.Plain.Places < 1 || len(f.Tools) == 0:
 		return failure.New(failure.Usage, "file %s: plain targets or tools are missing", path)
--- a/ctl/roles/faults_test.go
+++ b/ctl/roles/faults_test.go
@@ -8,6 +8,8 @@
 	inject func(c *cluster)
 	// planned cases must not cut a single request.
 	planned bool
+	// crowded cases run on three history hosts, two of which are in one data centre.
+	crowded bool
 }
 
 const (
@@ -216,6 +218,68 @@
 		}
 		wait(sweepTime)
 	}},
+	{name: "the crowded data centre cut off", crowded: true, inject: func(c *cluster) {
+		c.cutCentre(true)
+		wait(5 * time.Second)
+		c.cutCentre(false)
+		wait(3 * time.Second)
+	}},
+	{name: "the crowded data centre cut off twice", crowded: true, inject: func(c *cluster) {
+		for range 2 {
+			c.cutCentre(true)
+			wait(3 * time.Second)
+			c.cutCentre(false)
+			wait(400 * time.Millisecond)
+		}
+		wait(3 * time.Second)
+	}},
+	{name: "the crowded data centre cut off, and the disk outside lost meanwhile", crowded: true, inject: func(c *cluster) {
+		c.cutCentre(true)
+		wait(3 * time.Second)
+		h := c.killHistory(2)
+		c.restartHistory(&historyHost{name: h.name, place: h.place, dir: c.t.TempDir()})
+		wait(2 * time.Second)
+		c.cutCentre(false)
+		wait(4 * time.Second)
+	}},
+	{name: "the disk outside lost just after the cut has healed", crowded: true, inject: func(c *cluster) {
+		c.cutCentre(true)
+		wait(3 * time.Second)
+		c.cutCentre(false)
+		wait(200 * time.Millisecond)
+		h := c.killHistory(2)
+		c.restartHistory(&historyHost{name: h.name, place: h.place, dir: c.t.TempDir()})
+		wait(4 * time.Second)
+	}},
+	{name: "all history hosts killed while the crowded data centre is cut off", crowded: true, inject: func(c *cluster) {
+		c.cutCentre(true)
+		wait(3 * time.Second)
+		for i := range c.history {
+			c.killHistory(i)
+		}
+		for _, h := range c.history {
+			c.restartHistory(h)
+		}
+		wait(2 * time.Second)
+		c.cutCentre(false)
+		wait(3 * time.Second)
+	}},
+	{name: "the platform away while the crowded data centre is cut off", crowded: true, inject: func(c *cluster) {
+		c.cutCentre(true)
+		wait(2 * time.Second)
+		c.store.SetDown(true)
+		wait(2 * time.Second)
+		c.store.SetDown(false)
+		wait(time.Second)
+		c.cutCentre(false)
+		wait(3 * time.Second)
+	}},
+	{name: "the history host outside killed", crowded: true, inject: func(c *cluster) {
+		h := c.killHistory(2)
+		wait(2 * time.Second)
+		c.restartHistory(h)
+		wait(2 * time.Second)
+	}},
 	{name: "two faults: a disk lost, an entry host killed", inject: func(c *cluster) {
 		h := c.killHistory(3)
 		h.dir = c.t.TempDir()
--- a/ctl/standin/objects.go
+++ b/ctl/standin/objects.go
@@ -96,13 +96,25 @@
 	if !ok {
 		return
 	}
-	delete(s.kinds[kind], name)
+	s.remove(kind, o)
+}
+
+// remove removes an object; the caller holds mu.
+func (s *Objects) remove(kind string, o objects.Object) {
+	delete(s.kinds[kind], o.Name)
 	s.revision++
 	o.Revision = s.revision
 	s.history = append(s.history, change{kind, objects.Event{Object: o, Removed: true}, s.revision})
 	s.wake()
 }
 
+// Names returns the names of the objects of a kind.
+func (s *Objects) Names(kind string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.kinds[kind]))
+}
+
 // Status returns the status of an object.
 func (s *Objects) Status(kind, name string) string {
 	s.mu.Lock()
@@ -214,6 +226,20 @@
 	return err
 }
 
+func (v *objectsAt) Delete(ctx context.Context, kind, name string) error {
+	if err := v.enter(ctx); err != nil {
+		return err
+	}
+	o, ok := v.s.kinds[kind][name]
+	if !ok {
+		_, err := v.leave(o, failure.New(failure.NotFound, "%s/%s", kind, name))
+		return err
+	}
+	v.s.remove(kind, o)
+	_, err := v.leave(o, nil)
+	return err
+}
+
 func (v *objectsAt) List(ctx context.Context, kind string) (objects.Snapshot, error) {
 	if err := v.enter(ctx); err != nil {
 		return objects.Snapshot{}, err
--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -105,7 +105,7 @@
 	c.Sent(x.call.Prefix, h.now())
 	h.mu.Unlock()
 	x.tried[listed.ID] = true
-	x.target = listed.ID
+	x.target, x.load = listed.ID, float64(c.Load)/float64(max(1, c.Places))
 	h.Log.Info("request routed", "request", x.call.ID, "program", x.call.Program, "route", x.route.Name, "config", x.table.Version,
 		"target", listed.ID, "data_centre", listed.DataCentre, "load", c.Load, "places", c.Places, "report_age_ms", c.ReportAge.Milliseconds(),
 		"prompt", x.call.PromptTokens, "missing", c.Missing, "candidates", c.Candidates, "send", x.sends+1,
@@ -144,12 +144,20 @@
 	}
 }
 
-// took tells the registry how long a target took for a kind of work.
-func (x *exchange) took(target, work string, d time.Duration) {
+// took tells the registry how long the target took for a request to a plain service.
+func (x *exchange) took(d time.Duration) {
 	h := x.host
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.registry.Took(target, work, d, h.now())
+	h.registry.Took(x.target, x.route.Name, d, h.now())
+}
+
+// streamed tells the registry how long the target took for one event.
+func (x *exchange) streamed(d time.Duration) {
+	h := x.host
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.registry.Streamed(x.target, x.load, d, h.now())
 }
 
 // heard takes the load that a target tells at the head of its answer. At the end of
--- a/daemon/entry/handle.go
+++ b/daemon/entry/handle.go
@@ -37,8 +37,9 @@
 	// underWay reports that the program has had an answer before.
 	underWay bool
 	target   string
-	// sent is when the request went to target.
+	// sent is when the request went to target, load the target's by then, in places.
 	sent time.Time
+	load float64
 }
 
 // retryLater is when a caller that was refused may come back: time for a target
--- a/daemon/entry/host.go
+++ b/daemon/entry/host.go
@@ -178,7 +178,8 @@
 // Ready reports whether the host can serve: it has a configuration and knows the
 // history hosts, and it is not about to stop.
 func (h *Host) Ready() bool {
-	return !h.draining.Load() && h.table.Load() != nil && h.History.Ready() && h.History.Isolated() == 0
+	served := h.History.Isolated() == 0 || h.History.TakeoverIn() > 0
+	return !h.draining.Load() && h.table.Load() != nil && h.History.Ready() && served
 }
 
 // rotationTime is how long the platform takes to send callers elsewhere after a
@@ -194,6 +195,9 @@
 	if isolated == 0 {
 		return retryLater
 	}
+	if takeover := h.History.TakeoverIn(); takeover > 0 {
+		return max(retryLater, takeover)
+	}
 	return max(retryLater, rotationTime-isolated)
 }
 
--- a/daemon/entry/plain.go
+++ b/daemon/entry/plain.go
@@ -35,7 +35,7 @@
 	}
 	if resp.Status < http.StatusInternalServerError {
 		x.done(t.ID, balance.Served)
-		x.took(t.ID, x.route.Name, time.Since(x.sent))
+		x.took(time.Since(x.sent))
 	} else {
 		x.done(t.ID, balance.Failed)
 		if x.repeatable() && x.sends < x.route.Attempts && x.hasOther() {
--- a/daemon/entry/stream.go
+++ b/daemon/entry/stream.go
@@ -45,13 +45,10 @@
 func (x *exchange) pump(resp *targetpool.Response, last *string) error {
 	flush := http.NewResponseController(x.w)
 	events := &eventReader{from: resp.Body}
-	var first, latest time.Time
-	for n := 0; ; n++ {
+	var heard time.Time
+	for {
 		e, err := events.next()
 		if err == io.EOF {
-			if n > 1 {
-				x.took(x.target, x.service, latest.Sub(first)/time.Duration(n-1))
-			}
 			return nil
 		}
 		if err != nil {
@@ -59,9 +56,11 @@
 		}
 		x.begin(resp)
 		x.host.reach.heard(x.target)
-		if latest = time.Now(); n == 0 {
-			first = latest
+		now := time.Now()
+		if !heard.IsZero() {
+			x.streamed(now.Sub(heard))
 		}
+		heard = now
 		if x.turn != nil {
 			x.turn.note(e)
 		}
--- a/daemon/history/keeper.go
+++ b/daemon/history/keeper.go
@@ -65,6 +65,9 @@
 	revision uint64 // of the map object; 0 if it does not exist
 	known    bool   // the map object was read, or its absence
 	reported map[string]bool
+	kept     *kept // nil without a store
+	// tidied is true once nothing of no use is kept at the platform.
+	tidied bool
 }
 
 // NewKeeper returns the keeper of server's member.
@@ -74,6 +77,10 @@
 		peers: newPeers(dialer), logger: logger, started: time.Now(), pause: pauseOf(self.ID), reported: map[string]bool{},
 	}
 	server.refresh = k.refresh
+	if store != nil {
+		k.kept = newKept(store, self.ID, k.started, server.epoch, logger)
+		server.keepAt(k.kept)
+	}
 	return k
 }
 
@@ -174,7 +181,9 @@
 	}
 	k.join(ctx, m)
 	k.peers.probe(ctx, m, k.self.ID)
-	k.repair(ctx, m)
+	k.arrange(ctx, m)
+	k.repair(ctx, k.server.Map())
+	k.tidy(ctx, k.server.Map())
 }
 
 func assign(m *placement.Map) bool {
--- a/daemon/meter/store.go
+++ b/daemon/meter/store.go
@@ -48,6 +48,12 @@
 	return err
 }
 
+func (s *countedStore) Delete(ctx context.Context, kind, name string) error {
+	err := s.Store.Delete(ctx, kind, name)
+	s.count("delete", err)
+	return err
+}
+
 func (s *countedStore) List(ctx context.Context, kind string) (objects.Snapshot, error) {
 	l, err := s.Store.List(ctx, kind)
 	s.count("list", err)
--- a/daemon/quorum/health.go
+++ b/daemon/quorum/health.go
@@ -94,6 +94,35 @@
 	return time.Since(c.isolated)
 }
 
+// takeoverTime is how long history hosts take to go on without a data centre that is
+// silent; see placement.Map.Demote.
+const takeoverTime = 1200 * time.Millisecond
+
+// TakeoverIn is how long most slots will take to be servable again because the history
+// hosts at hand are about to go on without the others; 0 if that is not expected.
+func (c *Client) TakeoverIn() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isolated.IsZero() {
+		return 0
+	}
+	now := time.Now()
+	silent := map[string]bool{}
+	for id := range c.slots.Members {
+		silent[id] = c.failingFor(id, now) > 0
+	}
+	due := 0
+	for i := range c.slots.Slots {
+		if c.slots.TakeoverDue(i, silent) {
+			due++
+		}
+	}
+	if due*2 <= len(c.slots.Slots) {
+		return 0
+	}
+	return max(0, takeoverTime-now.Sub(c.isolated))
+}
+
 // judge notes whether the host is isolated from the history hosts.
 func (c *Client) judge() {
 	now := time.Now()
--- /dev/null
+++ b/daemon/quorum/incomplete_test.go
@@ -0,0 +1,46 @@
+package quorum
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/core/historypb"
+	"github.com/pistachioarch/pistachioarch/wire/rpc"
+)
+
+// Where no replica of a slot is active, answers of all of them are too few: a write
+// that all took and a read that nobody was asked for have not succeeded.
+func TestWithoutActiveReplicasNothingIsComplete(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	go func() {
+		_ = rpc.Serve(l, func(_ *historypb.Request, answer func(*historypb.Reply)) {
+			answer(&historypb.Reply{Status: historypb.Status_STATUS_OK})
+		})
+	}()
+	c := New(&net.Dialer{}, "dc", log.New(io.Discard), nil)
+	defer c.pool.Close()
+	m := mapOf(3)
+	for id, x := range m.Members {
+		x.Address = l.Addr().String()
+		m.Members[id] = x
+	}
+	c.slots = m
+	record := &historypb.Record{Program: "p"}
+	require.NoError(t, c.writeOnce(t.Context(), []*historypb.Record{record}))
+	for i := range m.Slots {
+		m.Slots[i].Guarded = true
+		for j := range m.Slots[i].Replicas {
+			m.Slots[i].Replicas[j].Joining = true
+		}
+	}
+	require.True(t, failure.Is(c.writeOnce(t.Context(), []*historypb.Record{record}), failure.HistoryUnavailable))
+	_, err = c.readOnce(t.Context(), "p", "")
+	require.True(t, failure.Is(err, failure.HistoryUnavailable), "%v", err)
+}
--- a/daemon/quorum/quorum.go
+++ b/daemon/quorum/quorum.go
@@ -229,5 +229,14 @@
 			return nil
 		}
 	}
-	return failure.Wrap(last, failure.HistoryUnavailable, "%d of %d replicas of slot %d wrote", len(acks), len(members), slot)
+	return incomplete(last, "%d of %d replicas of slot %d wrote", len(acks), len(members), slot)
+}
+
+// incomplete is the failure of an operation that not enough replicas took part in. There
+// may be no other error: where no replica is active, all that answer are too few.
+func incomplete(last error, format string, args ...any) error {
+	if last == nil {
+		return failure.New(failure.HistoryUnavailable, format, args...)
+	}
+	return failure.Wrap(last, failure.HistoryUnavailable, format, args...)
 }
--- a/daemon/quorum/read.go
+++ b/daemon/quorum/read.go
@@ -135,7 +135,7 @@
 			return nil
 		}
 	}
-	return failure.Wrap(last, failure.HistoryUnavailable, "%d replicas of slot %d missing", need, slot)
+	return incomplete(last, "%d replicas of slot %d missing", need, slot)
 }
 
 // find asks the replicas of a slot for a turn and those before it.
--- a/wire/objects/objects.go
+++ b/wire/objects/objects.go
@@ -52,4 +52,5 @@
 	// Update replaces the spec if the object is still at the revision.
 	Update(ctx context.Context, kind, name string, revision uint64, spec []byte) (Object, error)
 	UpdateStatus(ctx context.Context, kind, name string, status []byte) error
+	Delete(ctx context.Context, kind, name string) error
 }
--- a/wire/rpc/client.go
+++ b/wire/rpc/client.go
@@ -28,6 +28,9 @@
 	// silenceLimit closes a connection on which calls wait and nothing arrives.
 	// A partition leaves connections hanging; a new one finds out in one dial.
 	silenceLimit = 400 * time.Millisecond
+	// outQueue bounds the requests that wait to be written on one link; more calls wait
+	// outside of it.
+	outQueue = 64
 )
 
 // Client is the connection to one member. Safe for concurrent use.
@@ -124,9 +127,9 @@
 	session *yamux.Session
 	stream  net.Conn
 
-	// writing is held by the one call that writes; waiting for it ends with the
-	// call's context.
-	writing chan struct{}
+	// out is what the link has to write, by a goroutine of its own: a write to a peer
+	// behind a cut may hang for longer than its call may wait.
+	out chan *historypb.Request
 
 	mu      sync.Mutex
 	nextID  uint64
@@ -151,8 +154,9 @@
 		_ = session.Close()
 		return nil, failure.Wrap(err, failure.PeerUnavailable, "stream to %s", address)
 	}
-	l := &link{session: session, stream: stream, pending: map[uint64]chan *historypb.Reply{}, heard: time.Now(), writing: make(chan struct{}, 1), done: make(chan struct{})}
+	l := &link{session: session, stream: stream, pending: map[uint64]chan *historypb.Reply{}, heard: time.Now(), out: make(chan *historypb.Request, outQueue), done: make(chan struct{})}
 	go l.read()
+	go l.write()
 	return l, nil
 }
 
@@ -205,13 +209,13 @@
 	req.Id = l.nextID
 	l.pending[req.Id] = answer
 	l.mu.Unlock()
-	if err := l.write(ctx, req); err != nil {
-		return nil, err
-	}
 	silence := time.NewTimer(limit)
 	defer silence.Stop()
+	out := l.out
 	for {
 		select {
+		case out <- req:
+			out = nil
 		case reply := <-answer:
 			return reply, nil
 		case <-l.done:
@@ -245,21 +249,19 @@
 	delete(l.pending, id)
 }
 
-func (l *link) write(ctx context.Context, req *historypb.Request) error {
-	select {
-	case l.writing <- struct{}{}:
-		defer func() { <-l.writing }()
-	case <-l.done:
-		return l.err
-	case <-ctx.Done():
-		l.forget(req.Id)
-		return failure.Wrap(ctx.Err(), failure.PeerUnavailable, "wait to write")
-	}
-	err := l.writeFrame(req)
-	if err != nil {
-		l.close(err)
+// write writes requests until the link ends.
+func (l *link) write() {
+	for {
+		select {
+		case req := <-l.out:
+			if err := l.writeFrame(req); err != nil {
+				l.close(err)
+				return
+			}
+		case <-l.done:
+			return
+		}
 	}
-	return err
 }
 
 func (l *link) writeFrame(req *historypb.Request) error {
