--- a/Makefile
+++ b/Makefile
@@ -19,11 +19,14 @@
 generate:
 	cd core && protoc --go_out=. --go_opt=paths=source_relative peerpb/peer.proto historypb/history.proto
 
-# All traces under all policies: a table, and a plot for each trace in build/.
+# All traces and load patterns under all policies: a table, and a plot for each in build/.
 replay: build
 	@for t in traces/*.jsonl; do \
 	  build/pistachioctl replay --trace $$t --policy all --plot build/$$(basename $$t .jsonl).png || exit 1; done
 
+	@for p in traces/load/*.pattern.ini; do \
+	  build/pistachioctl replay --pattern $$p --policy all --plot build/$$(basename $$p .pattern.ini).png || exit 1; done
+
 # More random fault schedules: make soak SEEDS=5000
 SEEDS ?= 1000
 soak:
