--- a/ctl/player/callers.go
+++ b/ctl/player/callers.go
@@ -26,8 +26,6 @@
 	toolsMost = 2
 	// endlessTurns stands for no end.
 	endlessTurns = 1 << 20
-	// burstEvery paces the changes of load.
-	loadStep = 50 * time.Millisecond
 )
 
 // callers begin programs as the pattern says.
--- a/ctl/player/host.go
+++ b/ctl/player/host.go
@@ -29,7 +29,6 @@
 	// notRun is true for a refusal; comeBack is then when to try again.
 	notRun   bool
 	comeBack time.Duration
-	first    time.Duration
 }
 
 // sending is one request at a target.
@@ -41,7 +40,7 @@
 	fail   func()
 }
 
-func newHost(w *world, _ int, centre string) *host {
+func newHost(w *world, centre string) *host {
 	h := &host{w: w, centre: centre}
 	h.start()
 	return h
@@ -72,7 +71,7 @@
 }
 
 // loseAcross ends the sendings that a cut goes through.
-func (h *host) loseAcross(string) {
+func (h *host) loseAcross() {
 	for s := range h.open {
 		if h.w.apart(h.centre, h.w.centreOf(s.target)) {
 			h.w.After(unreachableAfter, s.fail)
--- a/ctl/player/result.go
+++ b/ctl/player/result.go
@@ -132,7 +132,8 @@
 	return Quantiles{h.ValueAtQuantile(50), h.ValueAtQuantile(95), h.ValueAtQuantile(99)}
 }
 
-func (r *Result) close(*world) {
+// close works out the quantiles.
+func (r *Result) close() {
 	r.First, r.Stretch = quantiles(r.firsts), quantiles(r.stretches)
 }
 
--- a/ctl/player/world.go
+++ b/ctl/player/world.go
@@ -63,7 +63,7 @@
 		w.order = append(w.order, id)
 	}
 	for i := range f.Hosts {
-		w.hosts = append(w.hosts, newHost(w, i, f.Centres[i%len(f.Centres)]))
+		w.hosts = append(w.hosts, newHost(w, f.Centres[i%len(f.Centres)]))
 	}
 	for _, ph := range p.Phases {
 		w.plan(ph)
@@ -140,15 +140,15 @@
 func (w *world) cut(centre string) {
 	w.cutAt[centre] = w.Now()
 	for _, h := range w.hosts {
-		h.loseAcross(centre)
+		h.loseAcross()
 	}
-	w.After(unreachableAfter, func() { w.setReachable() })
+	w.After(unreachableAfter, w.setReachable)
 }
 
 func (w *world) heal(centre string) {
 	delete(w.cutAt, centre)
 	w.healed[centre] = w.Now()
-	w.After(unreachableAfter, func() { w.setReachable() })
+	w.After(unreachableAfter, w.setReachable)
 }
 
 // setReachable tells hosts which targets they can reach.
@@ -194,7 +194,7 @@
 	end := seconds(p.Seconds) + drainAfterEnd
 	for w.Now() < end && w.Step() {
 	}
-	w.result.close(w)
+	w.result.close()
 	return w.result
 }
 
--- a/daemon/history/server_test.go
+++ b/daemon/history/server_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/assert"
@@ -153,3 +154,31 @@
 	require.NoError(t, err)
 	require.Equal(t, m.Epoch+49, onDisk.Epoch)
 }
+
+// A slot whose newest records this disk alone would have is written to the platform's
+// store as well, before the write is acknowledged.
+func TestGuardedSlotIsKeptAtThePlatformToo(t *testing.T) {
+	s := openServer(t, t.TempDir())
+	defer s.Close()
+	m := placement.New(1)
+	for id, dc := range map[string]string{"a1": "a", "a2": "a", s.Member(): "c"} {
+		m.Admit(placement.Member{ID: id, Host: id, Address: id, DataCentre: dc})
+	}
+	m.Assign()
+	require.True(t, m.Spanning())
+	copied := map[int]uint64{}
+	for i, slot := range m.Slots {
+		copied[i] = slot.Changed
+	}
+	require.True(t, m.Activate(s.Member(), copied))
+	require.NoError(t, s.Adopt(m.Clone()))
+	require.True(t, m.Demote(map[string]bool{"a1": true, "a2": true}))
+
+	require.Equal(t, historypb.Status_STATUS_UNAVAILABLE, ask(s, writeOf(s, m.Epoch, "p", "1", 1<<60)).Status, "made with a map that it does not know")
+	require.NoError(t, s.Adopt(m))
+	require.Equal(t, historypb.Status_STATUS_UNAVAILABLE, ask(s, writeOf(s, m.Epoch, "p", "1", 1<<60)).Status, "nothing keeps it yet")
+	store := &fakeStore{items: map[string][]byte{}}
+	s.keepAt(newKept(store, s.Member(), time.Unix(1, 0), s.epoch, log.New(io.Discard)))
+	require.Equal(t, historypb.Status_STATUS_OK, ask(s, writeOf(s, m.Epoch, "p", "1", 1<<60)).Status)
+	require.Len(t, store.items, 1)
+}
