entry: a program's call waits for room at plain targets that are full

It is not sent to more targets than its route allows, and not at all where a target may have run it.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -271,6 +271,8 @@
 	PromptTokens int64
 	// Exclude lists targets that the request was at already.
 	Exclude map[string]bool
+	// Only lists the targets that may be chosen; empty: all.
+	Only map[string]bool
 }
 
 // Choice is the target picked, and what decided.
@@ -318,7 +320,7 @@
 	s := r.of(q.Service)
 	v := r.view(s, q, now)
 	for _, t := range s.targets {
-		if q.Exclude[t.ID] || t.obstacle(now) != "" {
+		if q.Exclude[t.ID] || len(q.Only) > 0 && !q.Only[t.ID] || t.obstacle(now) != "" {
 			continue
 		}
 		candidates++
--- a/daemon/entry/entry_test.go
+++ b/daemon/entry/entry_test.go
@@ -59,6 +59,36 @@
 	require.Len(t, b.requests(), 1)
 }
 
+// A program's call waits for a moment where all targets are full: refused, it would end
+// its program. It goes to those again that said so, and to no others.
+func TestProgramsCallWaitsForRoom(t *testing.T) {
+	answers := func(n int, r received, id string) (string, bool) {
+		if n < 3 {
+			return refused(id), false
+		}
+		return whole(id, "done"), false
+	}
+	a, b, c := newTarget(t, "t1", answers), newTarget(t, "t2", answers), newTarget(t, "t3", answers)
+	s := newSystem(t, a, b, c)
+	got := s.post("/once/", "", ownheaders.ID, "1", ownheaders.Program, "p")
+	require.Equal(t, http.StatusOK, got.status)
+	asked := 0
+	for _, x := range []*target{a, b, c} {
+		if len(x.requests()) > 0 {
+			asked++
+		}
+	}
+	require.Equal(t, 2, asked, "the route allows two targets")
+}
+
+func TestProgramsCallIsRefusedWhereNoRoomComes(t *testing.T) {
+	full := func(_ int, _ received, id string) (string, bool) { return refused(id), false }
+	s := newSystem(t, newTarget(t, "t1", full), newTarget(t, "t2", full))
+	got := s.post("/once/", "", ownheaders.ID, "1", ownheaders.Program, "p")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.NotEmpty(t, got.header.Get("Retry-After"))
+}
+
 func TestOnlyIdempotentRequestsAreSentAgain(t *testing.T) {
 	for path, want := range map[string]struct{ status, sends int }{
 		"/plain/": {http.StatusOK, 2},
--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -53,7 +53,11 @@
 	for {
 		t, err := x.pick()
 		if err != nil {
-			return worse(worst, err)
+			worst = worse(worst, err)
+			if x.awaitRoom(ctx, worst) {
+				continue
+			}
+			return worst
 		}
 		again, err := x.try(ctx, t)
 		if err == nil {
@@ -65,7 +69,7 @@
 		}
 		x.host.Meter.Count("sends", "repeated", string(failure.From(err).Kind))
 		x.host.Log.Info("request sent again", "request", x.call.ID, "target", t.ID, "sends", x.sends, "error", err.Error())
-		if x.sends >= x.route.Attempts {
+		if x.sends >= x.route.Attempts && !x.awaitRoom(ctx, worst) {
 			return worst
 		}
 	}
@@ -91,7 +95,7 @@
 	h.mu.Lock()
 	v := h.dispatch.Decide(dispatch.Request{
 		Query: balance.Query{
-			Service: x.service, Parts: x.call.Prefix, PromptTokens: x.call.PromptTokens, Exclude: x.tried,
+			Service: x.service, Parts: x.call.Prefix, PromptTokens: x.call.PromptTokens, Exclude: x.tried, Only: x.room.only(),
 		},
 		UnderWay: !x.isTurn() || x.underWay || x.sends > 0, Draw: x.draw(),
 	}, h.now())
@@ -193,6 +197,9 @@
 	defer resp.Body.Close()
 	if resp.Answer.NotRun {
 		x.done(t.ID, refusal(resp.Answer))
+		if !resp.Answer.Moved {
+			x.room.refused(t.ID)
+		}
 		return true, failure.Retry(failure.TargetFull, retryLater, "target %s refused with %d", t.ID, resp.Status)
 	}
 	if x.route.Kind == routing.Streaming && resp.Status == http.StatusOK {
--- a/daemon/entry/handle.go
+++ b/daemon/entry/handle.go
@@ -30,6 +30,7 @@
 	service string
 	tried   map[string]bool
 	sends   int
+	room    room
 	// answered is set once the head of an answer went to the caller, at firstByte.
 	answered  bool
 	firstByte time.Time
