balance: an engine's slowness is added from its own event times; it no longer multiplies the cost of load

Cause: the pace of an engine, learned from each event against what its load lets expect, multiplied its cost from twice the usual on.

Change: times of events fade by half in 0.5 s per engine; what they exceed 1.5 times the expected time is added to the cost. Pace is left for plain targets.

The check on random deployments now plays slow engines and cuts as well, against no account of slow engines and against load alone: it did not see the fall because both of its sides had the pace. TestSlowdownIsFoundFromStreams became TestCostOfLoadIsFoundFromStreams (the fit keeps a thousand observations, so it is given a thousand; same bounds).

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -42,6 +42,7 @@
 	faultsAt time.Duration
 	cache    prefixCache
 	pace     pace
+	events   recent // times of events, in nanoseconds
 	idle     idleConnections
 	// Unreachable targets are not picked; whoever set it probes them.
 	Unreachable bool
@@ -72,8 +73,8 @@
 	paced   float64
 	pacedAt time.Duration
 	// prompt is the running mean of prompts, in tokens.
-	prompt   float64
-	slowdown slowdown
+	prompt float64
+	speed  speed
 }
 
 // promptStep is the weight of one prompt in the mean.
@@ -288,30 +289,6 @@
 	Candidates int
 }
 
-// view is what all targets of a service have in common for one choice.
-type view struct {
-	q       Query
-	now     time.Duration
-	fastest float64
-	busy    float64
-	prompt  float64
-	homes   map[string]bool // of the prompt's first part; nil if it has none
-}
-
-// view looks at a service once for all of its targets.
-func (r *Registry) view(s *service, q Query, now time.Duration) view {
-	v := view{q: q, now: now, fastest: s.fastest(now)}
-	if q.PromptTokens == 0 {
-		return v
-	}
-	s.asked(q.PromptTokens)
-	v.busy, v.prompt = r.weights.Busy*s.slowdown.busy(), s.prompt
-	if r.weights.Homes && len(q.Parts) > 1 {
-		v.homes = r.homes(q.Service, q.Parts[0].ID)
-	}
-	return v
-}
-
 // Pick returns the best target for a request, if there is any.
 func (r *Registry) Pick(q Query, now time.Duration) (Choice, bool) {
 	var best *Target
@@ -342,43 +319,6 @@
 	return c
 }
 
-// missing is the part of the prompt that the target has not read yet.
-func (t *Target) missing(v *view) int64 {
-	covered := t.cache.covered(v.q.Parts)
-	if covered == 0 && v.homes[t.ID] {
-		covered = int64(homeTrust * float64(v.q.Parts[0].Tokens))
-	}
-	return max(0, v.q.PromptTokens-covered)
-}
-
-// wait is the part of the cost that grows with the target's load. A plain target
-// works on each request by itself, so its load counts as it is; an engine's batch
-// hardly slows down until it is full.
-func (r *Registry) wait(t *Target, v *view) float64 {
-	places := float64(max(1, t.Places))
-	load := float64(t.Load(v.now)) / places
-	if v.q.PromptTokens == 0 {
-		return load
-	}
-	return v.busy*min(load, 1) + r.weights.Wait*max(0, load-1+1/places)
-}
-
-func (r *Registry) cost(t *Target, v *view) float64 {
-	w := &r.weights
-	cost := r.slowness(t, v.fastest, v.now)*(1+r.wait(t, v)) - 1
-	cost += w.Fault * min(faultMost, t.fade(v.now))
-	if t.DataCentre != r.dataCentre {
-		cost += w.Far
-	}
-	if !t.idle.any(v.now) {
-		cost += w.Connect
-	}
-	if v.q.PromptTokens > 0 {
-		cost += w.Prefill * float64(t.missing(v)) / v.prompt
-	}
-	return cost
-}
-
 // MeanLoad is the load of a service over its places.
 func (r *Registry) MeanLoad(name string, now time.Duration) float64 {
 	load, places := 0, 0
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -104,20 +104,61 @@
 	}
 }
 
-func TestSlowdownIsFoundFromStreams(t *testing.T) {
-	var s slowdown
-	require.InDelta(t, slowdownAssumed, s.busy(), 0)
+func TestCostOfLoadIsFoundFromStreams(t *testing.T) {
+	var s speed
+	require.InDelta(t, assumedBusy, s.busy(), 0)
 	for range 60 {
 		s.observe(0.5, 40)
 	}
-	require.InDelta(t, slowdownAssumed, s.busy(), 0, "one load tells nothing of another")
-	for i := range 200 {
+	require.InDelta(t, assumedBusy, s.busy(), 0, "one load tells nothing of another")
+	for i := range 1000 {
 		load := float64(i%11) / 10
 		s.observe(load, 20+60*load)
 	}
 	require.InDelta(t, 0.75, s.busy(), 0.05)
-	require.InDelta(t, 50, s.usual(0.5), 5)
-	require.InDelta(t, s.usual(1), s.usual(3), 0, "a queue does not slow the batch")
+	require.InDelta(t, 50, s.expected(0.5), 5)
+	require.InDelta(t, s.expected(1), s.expected(3), 0, "a queue does not slow the batch")
+}
+
+// streams tells the registry of the events of streams at some engines, half loaded.
+func streams(r *Registry, events int, now time.Duration, took map[string]time.Duration) {
+	for range events {
+		for id, d := range took {
+			r.Streamed(id, 0.5, d, now)
+		}
+	}
+}
+
+// One of three engines turns four times slower: it gets less from its next turn on, and
+// is tried again soon after its last event.
+func TestSlowEngineGetsLessAndIsTriedAgain(t *testing.T) {
+	r := registryOf(3)
+	usual, slow := 20*time.Millisecond, 80*time.Millisecond
+	picked := func(now time.Duration) string {
+		c, ok := r.Pick(Query{Service: "s", PromptTokens: 1000}, now)
+		require.True(t, ok)
+		return c.ID
+	}
+	streams(r, 100, time.Second, map[string]time.Duration{"t0": usual, "t1": usual, "t2": usual})
+	require.Equal(t, "t0", picked(time.Second), "the near one")
+	turnedSlow := 4 * time.Second
+	streams(r, 10, turnedSlow, map[string]time.Duration{"t0": slow, "t1": usual, "t2": usual})
+	require.NotEqual(t, "t0", picked(turnedSlow))
+	require.Equal(t, "t0", picked(turnedSlow+8*eventHalfLife))
+}
+
+// While prompts are read everywhere, events of sound engines take half as long again for
+// a while. That does not drive turns from the engine that has their prompt: reading them
+// elsewhere stalls the others in turn.
+func TestStalledEventsDoNotDriveTurnsFromTheirPrompts(t *testing.T) {
+	r := registryOf(3)
+	q := prompt("shared", "session")
+	usual := 20 * time.Millisecond
+	streams(r, 100, 0, map[string]time.Duration{"t0": usual, "t1": usual, "t2": usual})
+	target(t, r, "t1").Sent(q.Parts, time.Second)
+	target(t, r, "t1").Done(Served, time.Second)
+	streams(r, 10, time.Second, map[string]time.Duration{"t0": usual, "t1": 5 * usual / 2, "t2": usual})
+	require.Equal(t, "t1", pick(t, r, q))
 }
 
 func TestHostsAgreeOnTheHomesOfASharedPart(t *testing.T) {
--- /dev/null
+++ b/core/balance/cost.go
@@ -0,0 +1,69 @@
+package balance
+
+import "time"
+
+// view is what all targets of a service have in common for one choice.
+type view struct {
+	q       Query
+	now     time.Duration
+	service *service
+	fastest float64
+	busy    float64
+	homes   map[string]bool // of the prompt's first part; nil if it has none
+}
+
+// view looks at a service once for all of its targets.
+func (r *Registry) view(s *service, q Query, now time.Duration) view {
+	v := view{q: q, now: now, service: s}
+	if q.PromptTokens == 0 {
+		v.fastest = s.fastest(now)
+		return v
+	}
+	s.asked(q.PromptTokens)
+	v.busy = r.weights.Busy * s.speed.busy()
+	if r.weights.Homes && len(q.Parts) > 1 {
+		v.homes = r.homes(q.Service, q.Parts[0].ID)
+	}
+	return v
+}
+
+// cost of a target, in units of the time of one request at a full target.
+func (r *Registry) cost(t *Target, v *view) float64 {
+	w := &r.weights
+	cost := w.Fault * min(faultMost, t.fade(v.now))
+	if t.DataCentre != r.dataCentre {
+		cost += w.Far
+	}
+	if !t.idle.any(v.now) {
+		cost += w.Connect
+	}
+	load := float64(t.Load(v.now)) / float64(max(1, t.Places))
+	if v.q.PromptTokens == 0 {
+		return cost + r.plainCost(t, v, load)
+	}
+	return cost + r.engineCost(t, v, load)
+}
+
+// plainCost is the part of the cost of a plain target that its load and pace make up.
+// It works on each request by itself, so its load counts as it is.
+func (r *Registry) plainCost(t *Target, v *view, load float64) float64 {
+	return r.slowness(t, v.fastest, v.now)*(1+load) - 1
+}
+
+// engineCost is the part of the cost of an engine that its load, its speed and the
+// reading of the prompt make up. Its batch hardly slows down until it is full.
+func (r *Registry) engineCost(t *Target, v *view, load float64) float64 {
+	w := &r.weights
+	cost := v.busy*min(load, 1) + w.Wait*max(0, load-1+1/float64(max(1, t.Places)))
+	cost += w.Prefill * float64(t.missing(v)) / v.service.prompt
+	return cost + w.Slow*t.excess(&v.service.speed, load, v.now)
+}
+
+// missing is the part of the prompt that the target has not read yet.
+func (t *Target) missing(v *view) int64 {
+	covered := t.cache.covered(v.q.Parts)
+	if covered == 0 && v.homes[t.ID] {
+		covered = int64(homeTrust * float64(v.q.Parts[0].Tokens))
+	}
+	return max(0, v.q.PromptTokens-covered)
+}
--- a/core/balance/pace.go
+++ b/core/balance/pace.go
@@ -5,11 +5,12 @@
 	"time"
 )
 
-// Pace of targets: how long one takes for a kind of work against what all targets of
-// the service take for it. It answers targets that turn slow under a burst: with two of
-// nine engines and two of four plain targets slow, 6 programs of 715 fail and not 15
-// (player, mean of four seeds). With slow plain targets alone it gains nothing, and where
-// engines slow down steeply with their load it costs 0.03 of the worth.
+// Pace of plain targets: how long one takes for a kind of work against what all targets
+// of the service take for it. It answers targets that turn slow under a burst. Engines
+// are judged by the times of their events instead, see speed: a ratio that multiplies the
+// cost of load makes turns flee from engines that read prompts, and the reading again
+// elsewhere spreads it (worth of a burst beside slow engines 0.61 with it, 0.85 without;
+// 9 engines of 48 places).
 const (
 	// paceStep is the weight of one observation of a target: work of one kind varies by
 	// as much as its mean, so some ten observations make a verdict; five are enough
@@ -67,20 +68,6 @@
 	r.typical[work] = typical + typicalStep*(min(float64(d), paceMost*typical)-typical)
 }
 
-// Streamed notes how long the target took for one event of a stream that was sent
-// to it at a load, in places.
-func (r *Registry) Streamed(target string, load float64, d time.Duration, now time.Duration) {
-	t := r.targets[target]
-	if t == nil || d <= 0 {
-		return
-	}
-	s := r.of(t.Service)
-	if usual := s.slowdown.usual(load); usual > 0 {
-		t.pace.observe(float64(d)/usual, now)
-	}
-	s.slowdown.observe(load, float64(d))
-}
-
 // fastest is the lowest ratio among the targets of a service.
 func (s *service) fastest(now time.Duration) float64 {
 	if s.pacedAt > 0 && now-s.pacedAt < pacesEvery {
--- a/core/balance/weights.go
+++ b/core/balance/weights.go
@@ -10,7 +10,7 @@
 // move away from a queue of some requests makes another engine read the whole prompt.
 type Weights struct {
 	// Busy weighs how much slower an engine is whose places are all taken; see
-	// slowdown.
+	// speed.
 	Busy float64
 	// Wait is the cost of a queue as long as the engine has places.
 	Wait float64
@@ -29,13 +29,18 @@
 	Fault float64
 	// Homes makes hosts agree on the engines that keep a shared part; see homes.
 	Homes bool
-	// Pace makes slow targets cost more; see pace.
+	// Slow is the cost of an engine whose events take longer than is to be expected, by as
+	// much again beyond what is tolerated; see speed. With two of nine engines four times
+	// slower under a burst it raises the worst two seconds from 0.89 to 0.94 of the worth
+	// (48 places) and from 0.86 to 0.91 (12 places); 0.25 and 2 gain less.
+	Slow float64
+	// Pace makes slow plain targets cost more; see pace.
 	Pace bool
 }
 
 // DefaultWeights returns the measured defaults.
 func DefaultWeights() Weights {
-	return Weights{Busy: 1, Wait: 0.7, Prefill: 1, Far: 0.1, Connect: 0.1, Fault: 0.4, Homes: true, Pace: true}
+	return Weights{Busy: 1, Wait: 0.7, Prefill: 1, Far: 0.1, Connect: 0.1, Fault: 0.4, Homes: true, Slow: 0.5, Pace: true}
 }
 
 // FormerWeights are those of the way before, as a baseline: a target without a free
--- a/ctl/player/engine.go
+++ b/ctl/player/engine.go
@@ -14,7 +14,8 @@
 //   - It runs up to places requests; others wait, first come first served, and are
 //     refused once queue of them wait.
 //   - A step makes one token for each request whose prompt has been read. Its time grows
-//     with the batch, and by the prompt tokens that it reads beside, chunk at most.
+//     with the batch, with the tokens that the batch holds, and by the prompt tokens that
+//     it reads beside, chunk at most.
 //   - The memory keeps parts of prompts, the least recently used yield; parts of running
 //     requests stay.
 type engine struct {
@@ -33,6 +34,7 @@
 // run is one request at an engine.
 type run struct {
 	parts   []request.Part
+	prompt  int // tokens of all parts
 	toRead  int
 	tokens  int // to make
 	made    int
@@ -63,11 +65,11 @@
 	for len(e.running) < e.s.Places && len(e.waiting) > 0 {
 		r := e.waiting[0]
 		e.waiting = e.waiting[1:]
-		total := 0
+		r.prompt = 0
 		for _, p := range r.parts {
-			total += p.Tokens
+			r.prompt += p.Tokens
 		}
-		r.toRead = total - e.memory.covered(r.parts)
+		r.toRead = r.prompt - e.memory.covered(r.parts)
 		e.w.result.readShared(e, r)
 		e.w.result.Read += int64(r.toRead)
 		e.memory.add(r.parts)
@@ -87,7 +89,8 @@
 		n := min(budget, r.toRead)
 		r.toRead -= n
 		budget -= n
-		took += float64(n) / e.s.ReadPerMs
+		have := float64(r.prompt - r.toRead + r.made)
+		took += float64(n)/e.s.ReadPerMs + e.s.PairsMsPerM*float64(n)*have/1e6 + e.s.ContextMsPerK*have/1e3
 	}
 	e.w.After(simclock.Milliseconds(took*e.speed), e.stepped)
 }
--- a/ctl/player/host.go
+++ b/ctl/player/host.go
@@ -33,11 +33,14 @@
 
 // sending is one request at a target.
 type sending struct {
-	target string
-	load   float64       // of the target when it was sent, in places
-	heard  time.Duration // when its last event came
-	cancel func()
-	fail   func()
+	target  string
+	load    float64 // of the target when it was sent, in places
+	missing int64   // tokens that the target was taken to read
+	sent    time.Duration
+	events  int64
+	heard   time.Duration // when its last event came
+	cancel  func()
+	fail    func()
 }
 
 func newHost(w *world, centre string) *host {
@@ -146,18 +149,18 @@
 		w.result.TurnedAway++
 		t.end(outcome{notRun: true, comeBack: v.ComeBack})
 	default:
-		t.send(v.Choice.Target)
+		t.send(v.Choice)
 	}
 }
 
-func (t *turn) send(target *balance.Target) {
+func (t *turn) send(target balance.Choice) {
 	h, w := t.h, t.h.w
 	e := w.engines[target.ID]
 	t.tried[target.ID] = true
 	delay := w.link(h.centre, e.centre)
 	way := delay + h.connect(target.ID, delay)
 	r := &run{parts: t.parts, tokens: t.tokens, own: t.own}
-	s := &sending{target: target.ID, load: float64(target.Load(w.Now())) / float64(max(1, target.Places))}
+	s := &sending{target: target.ID, load: float64(target.Load) / float64(max(1, target.Places))}
 	target.Sent(t.parts, w.Now())
 	t.sending = s
 	h.open[s] = true
--- a/ctl/player/player_test.go
+++ b/ctl/player/player_test.go
@@ -1,6 +1,7 @@
 package player
 
 import (
+	"fmt"
 	"path/filepath"
 	"testing"
 
@@ -9,9 +10,11 @@
 
 const folder = "../../traces/load"
 
-func fleet(t *testing.T) *Fleet {
+func fleet(t *testing.T) *Fleet { return fleetNamed(t, "small") }
+
+func fleetNamed(t *testing.T, name string) *Fleet {
 	t.Helper()
-	f, err := ReadFleet(filepath.Join(folder, "small.ini"))
+	f, err := ReadFleet(filepath.Join(folder, name+".ini"))
 	require.NoError(t, err)
 	return f
 }
@@ -34,9 +37,14 @@
 type outcomeOf struct{ worth, worst, recovery, failed float64 }
 
 func play(t *testing.T, patternName, policyName string, load float64) outcomeOf {
+	t.Helper()
+	return playOn(t, fleet(t), patternName, policyName, load)
+}
+
+func playOn(t *testing.T, f *Fleet, patternName, policyName string, load float64) outcomeOf {
 	t.Helper()
 	const seeds = 4
-	f, p := fleet(t), pattern(t, patternName)
+	p := pattern(t, patternName)
 	p.Scale(load)
 	var o outcomeOf
 	for seed := range uint64(seeds) {
@@ -105,6 +113,19 @@
 	require.Less(t, now.failed, before.failed)
 }
 
+// A burst beside slow engines, and one beside a cut, on engines with many places: what
+// binds is the reading of prompts, long before places are taken. When an engine whose
+// events were stalled cost a multiple, turns fled from their prompts; the worst two seconds
+// were at 0.69, with nothing known of slow engines at 0.77.
+func TestBurstBesideSlowEnginesWithManyPlaces(t *testing.T) {
+	f := fleetNamed(t, "many")
+	now, without := playOn(t, f, "burst-slow", "default", 1), playOn(t, f, "burst-slow", "no_pace", 1)
+	require.Greater(t, now.worth, 0.88)
+	require.Greater(t, now.worst, 0.74)
+	require.Greater(t, now.worth, without.worth-0.01)
+	require.Less(t, now.failed, without.failed)
+}
+
 // Hosts that do not talk agree on the engines that keep a shared part.
 func TestHomesOfSharedPartsAreWorthTheirPlace(t *testing.T) {
 	now, before := play(t, "burst", "default", 1.2), play(t, "burst", "no_homes", 1.2)
@@ -133,8 +154,10 @@
 	require.Error(t, err)
 }
 
-// On deployments drawn at random, a burst and a flood are served no worse than the
-// way before did, beyond the spread between seeds.
+// On deployments drawn at random, load patterns are served no worse than by the way
+// before, without any account of slow engines, and by load alone, beyond the spread
+// between seeds. With bursts and floods only, and the same account of slow engines on both
+// sides, the check did not see that this account cost 0.2 of the worth under a burst.
 func TestRandomDeploymentsAreServedNoWorse(t *testing.T) {
 	const (
 		deployments = 4
@@ -142,10 +165,16 @@
 	)
 	for seed := range uint64(deployments) {
 		f := RandomFleet(seed)
-		for _, name := range []string{"burst", "flood"} {
-			p := pattern(t, name)
-			now, before := Run(f, p, policy(t, "default"), seed), Run(f, p, policy(t, "former"), seed)
-			require.Greater(t, now.Worth(), before.Worth()-spread, "deployment %d, %s", seed, name)
+		for _, name := range []string{"burst", "flood", "burst-slow", "slow-engines", "cut"} {
+			t.Run(fmt.Sprintf("%d/%s", seed, name), func(t *testing.T) {
+				t.Parallel()
+				p := pattern(t, name)
+				now := Run(f, p, policy(t, "default"), seed)
+				for _, other := range []string{"former", "no_pace", "least_loaded"} {
+					before := Run(f, p, policy(t, other), seed)
+					require.Greater(t, now.Worth(), before.Worth()-spread, other)
+				}
+			})
 		}
 	}
 }
--- a/ctl/player/policies.go
+++ b/ctl/player/policies.go
@@ -18,9 +18,10 @@
 	return []Policy{
 		{Name: "default", Weights: w, Limits: l},
 		vary("send_at_once", func(_ *balance.Weights, l *dispatch.Limits) { *l = dispatch.Limits{} }),
-		vary("no_pace", func(w *balance.Weights, _ *dispatch.Limits) { w.Pace = false }),
+		vary("no_pace", func(w *balance.Weights, _ *dispatch.Limits) { w.Pace, w.Slow = false, 0 }),
 		vary("no_homes", func(w *balance.Weights, _ *dispatch.Limits) { w.Homes = false }),
 		vary("no_prefill", func(w *balance.Weights, _ *dispatch.Limits) { w.Prefill = 0 }),
+		vary("no_slow", func(w *balance.Weights, _ *dispatch.Limits) { w.Slow = 0 }),
 		vary("no_wait", func(w *balance.Weights, _ *dispatch.Limits) { w.Wait = 0 }),
 		vary("no_far", func(w *balance.Weights, _ *dispatch.Limits) { w.Far = 0 }),
 		vary("no_connect", func(w *balance.Weights, _ *dispatch.Limits) { w.Connect = 0 }),
--- a/ctl/player/settings.go
+++ b/ctl/player/settings.go
@@ -30,10 +30,13 @@
 type EngineSettings struct {
 	Count, Places, Queue int
 	StepMs, StepGrowth   float64
-	Chunk                int
-	ReadPerMs            float64
-	Memory               int
-	TokensPerEvent       int
+	// ContextMsPerK is what a step takes longer for each thousand tokens that its batch
+	// holds, PairsMsPerM for each million pairs of a token read and one before it.
+	ContextMsPerK, PairsMsPerM float64
+	Chunk                      int
+	ReadPerMs                  float64
+	Memory                     int
+	TokensPerEvent             int
 	// SpeedSpread is by how much the engines differ, as a share.
 	SpeedSpread float64
 }
