relay: a host whose relay fails asks the next one before it asks the platform

Change: relays that failed are avoided for three seconds each, the others are asked first; a watch at the platform itself ends by then.

--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -221,7 +221,7 @@
 			w.mirrors = append(w.mirrors, m)
 			go objects.Follow(ctx, NewSource(string(rune('a'+i)), p, w.peers, logger), kind, waitTime, m)
 		}
-		time.Sleep(2 * directFor) // everybody follows through a relay now
+		time.Sleep(2 * avoidFor) // everybody follows through a relay now
 		test(w)
 		stop()
 		time.Sleep(time.Minute)
@@ -269,6 +269,25 @@
 	})
 }
 
+// One relay is gone, or cut off from the platform: its hosts ask the other one, not the
+// platform.
+func TestHostsOfARelayThatFailsAskTheNext(t *testing.T) {
+	play(t, 40, func(w *world) {
+		w.peers.mu.Lock()
+		delete(w.peers.servers, "a")
+		w.peers.mu.Unlock()
+		before, _ := w.relayed.state()
+		const changes = 20
+		for i := range changes {
+			w.relayed.set("two", string(rune('a'+i)))
+			time.Sleep(time.Second)
+		}
+		w.eventually(t, time.Millisecond, map[string]string{"one": "1", "two": string(rune('a' + changes - 1))})
+		after, _ := w.relayed.state()
+		require.LessOrEqual(t, after-before, 2*2*changes, "watches of two relays")
+	})
+}
+
 func TestARelayThatLostThePlatformSaysSo(t *testing.T) {
 	play(t, 4, func(w *world) {
 		w.relayed.fail(true, false)
--- a/daemon/relay/source.go
+++ b/daemon/relay/source.go
@@ -23,10 +23,11 @@
 }
 
 const (
-	// directFor is how long the platform is asked directly after a relay failed:
-	// long enough that calls fail over once and not at each watch, short against
-	// the outages that make relays fail (seconds).
-	directFor = 3 * time.Second
+	// avoidFor is how long a relay that failed is not asked: long enough that calls fail
+	// over once and not at each watch, short against the outages that make relays fail
+	// (seconds). A watch made at the platform itself ends by then, so that the host goes
+	// back to a relay.
+	avoidFor = 3 * time.Second
 	// askTimeout bounds one call to a relay beside the wait that it was asked for:
 	// a round trip between data centres and a busy process.
 	askTimeout = 500 * time.Millisecond
@@ -42,8 +43,8 @@
 	place uint32
 	// seen is the newest revision returned.
 	seen uint64
-	// directUntil is when relays are asked again after a failure.
-	directUntil time.Time
+	// failed is when each relay that is avoided failed.
+	failed map[string]time.Time
 	// from is the relay in use, empty for the platform.
 	from string
 }
@@ -52,7 +53,7 @@
 func NewSource(host string, direct objects.Reader, peers Peers, logger *log.Logger) *Source {
 	h := fnv.New32a()
 	h.Write([]byte(host))
-	return &Source{direct: direct, peers: peers, place: h.Sum32(), logger: logger}
+	return &Source{direct: direct, peers: peers, place: h.Sum32(), logger: logger, failed: map[string]time.Time{}}
 }
 
 // List implements objects.Reader.
@@ -89,29 +90,40 @@
 		s.seen = max(s.seen, reply.Revision)
 		return changes, nil
 	}
-	changes, err := s.direct.Watch(ctx, kind, revision, wait)
+	changes, err := s.direct.Watch(ctx, kind, revision, min(wait, avoidFor))
 	s.seen = max(s.seen, changes.Revision)
 	return changes, err
 }
 
-// ask sends a request to a relay, unless one failed a moment ago.
+// ask sends a request to the host's relay, and to the next ones if it fails: with one of
+// three relays cut off from the platform, a third of all hosts would else ask the platform
+// themselves, and again at each change.
 func (s *Source) ask(ctx context.Context, kind string, wait time.Duration, req *historypb.Request) (*historypb.Reply, error) {
-	if time.Now().Before(s.directUntil) {
-		return nil, failure.New(failure.PeerUnavailable, "relays are not asked now")
-	}
 	relays := s.peers.Relays()
-	if len(relays) == 0 {
-		return nil, failure.New(failure.PeerUnavailable, "no relay is known")
+	var err error = failure.New(failure.PeerUnavailable, "no relay is known, or all failed a moment ago")
+	for i := range relays {
+		member := relays[(int(s.place%uint32(len(relays)))+i)%len(relays)]
+		if time.Since(s.failed[member]) < avoidFor {
+			continue
+		}
+		var reply *historypb.Reply
+		if reply, err = s.askOne(ctx, kind, member, wait, req); err == nil || failure.Is(err, failure.HistoryGone) {
+			return reply, err
+		}
 	}
-	member := relays[int(s.place%uint32(len(relays)))]
+	return nil, err
+}
+
+func (s *Source) askOne(ctx context.Context, kind, member string, wait time.Duration, req *historypb.Request) (*historypb.Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+askTimeout)
 	defer cancel()
 	reply, err := s.peers.Ask(ctx, member, req, wait)
 	switch {
 	case err == nil:
+		delete(s.failed, member)
 		s.use(kind, member)
 	case !failure.Is(err, failure.HistoryGone):
-		s.directUntil = time.Now().Add(directFor)
+		s.failed[member] = time.Now()
 		s.leave(kind, member, err)
 	}
 	return reply, err
