--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -7,7 +7,6 @@
 package balance
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -238,7 +237,7 @@
 	if t.faults == 0 {
 		return 0
 	}
-	return t.faults * math.Exp2(-float64(now-t.faultsAt)/float64(faultHalfLife))
+	return t.faults * fading(now-t.faultsAt, faultHalfLife)
 }
 
 // Query is what Pick needs to know of a request.
--- a/core/balance/cost.go
+++ b/core/balance/cost.go
@@ -82,7 +82,7 @@
 	w := &r.weights
 	cost := v.busy*min(load, 1) + w.Wait*max(0, load-1+t.perPlace(1))
 	cost += w.Prefill * float64(t.missing(v)) / v.service.prompt
-	return cost + w.Slow*t.excess(&v.service.speed, load, v.now)
+	return cost + w.Slow*t.excess(load, v.now)
 }
 
 // missing is the part of the prompt that the target has not read yet.
--- a/core/balance/load.go
+++ b/core/balance/load.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"math"
 	"time"
 
 	"github.com/pistachioarch/pistachioarch/core/request"
@@ -42,7 +41,7 @@
 	}
 	told := float64(t.reported.Running + t.reported.Waiting)
 	if age := now - t.reportedAt; age > wordTrust {
-		kept := math.Exp2(-float64(age-wordTrust) / float64(wordHalfLife))
+		kept := fading(age-wordTrust, wordHalfLife)
 		mean := t.service.words.by(now, wordHalfLife, 0, emptyWords) * float64(t.Places)
 		told = kept*told + (1-kept)*mean
 	}
--- a/core/balance/pace.go
+++ b/core/balance/pace.go
@@ -44,7 +44,7 @@
 	if !p.known {
 		return 1
 	}
-	return 1 + (p.ratio-1)*math.Exp2(-float64(now-p.at)/float64(paceHalfLife))
+	return 1 + (p.ratio-1)*fading(now-p.at, paceHalfLife)
 }
 
 func (p *pace) observe(ratio float64, now time.Duration) {
--- a/core/balance/speed.go
+++ b/core/balance/speed.go
@@ -53,14 +53,14 @@
 	if t == nil || d <= 0 {
 		return
 	}
-	r.of(t.Service).speed.observe(min(load, 1), float64(d))
+	t.service.speed.observe(min(load, 1), float64(d))
 	t.events.add(float64(d), now, eventHalfLife)
 }
 
 // excess is by how much the target's events take longer than is to be expected at its
 // load, over what is expected, as far as that counts.
-func (t *Target) excess(s *speed, load float64, now time.Duration) float64 {
-	expected := s.expected(load)
+func (t *Target) excess(load float64, now time.Duration) float64 {
+	expected := t.service.speed.expected(load)
 	if expected <= 0 {
 		return 0
 	}
--- a/ctl/player/host.go
+++ b/ctl/player/host.go
@@ -33,13 +33,12 @@
 
 // sending is one request at a target.
 type sending struct {
-	target  string
-	load    float64 // of the target when it was sent, in places
-	missing int64   // tokens that the target was taken to read
-	events  int64
-	heard   time.Duration // when its last event came
-	cancel  func()
-	fail    func()
+	target string
+	load   float64 // of the target when it was sent, in places
+	events int64
+	heard  time.Duration // when its last event came
+	cancel func()
+	fail   func()
 }
 
 func newHost(w *world, centre string) *host {
