--- a/core/balance/weights.go
+++ b/core/balance/weights.go
@@ -12,7 +12,11 @@
 	// Busy weighs how much slower an engine is whose places are all taken; see
 	// speed.
 	Busy float64
-	// Wait is the cost of a queue as long as the engine has places.
+	// Wait is the cost of a queue as long as the engine has places. Leaving a queue makes
+	// another engine read the prompt: with 0.7 two bursts on 171 hosts and 50 engines of 6
+	// places earned 0.65 of the worth and 9.8 million tokens of shared parts were read
+	// again, with 0.35 it is 0.69 and 7.7 million. Without it a burst on 9 engines of 12
+	// places falls from 0.998 to 0.986.
 	Wait float64
 	// Prefill is the cost of reading a prompt of mean length. Reading stalls all that
 	// runs at the engine.
@@ -40,7 +44,7 @@
 
 // DefaultWeights returns the measured defaults.
 func DefaultWeights() Weights {
-	return Weights{Busy: 1, Wait: 0.7, Prefill: 1, Far: 0.1, Connect: 0.1, Fault: 0.4, Homes: true, Slow: 0.5, Pace: true}
+	return Weights{Busy: 1, Wait: 0.35, Prefill: 1, Far: 0.1, Connect: 0.1, Fault: 0.4, Homes: true, Slow: 0.5, Pace: true}
 }
 
 // FormerWeights are those of the way before, as a baseline: a target without a free
