--- a/ctl/player/player_test.go
+++ b/ctl/player/player_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"path/filepath"
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -46,9 +47,15 @@
 	const seeds = 4
 	p := pattern(t, patternName)
 	p.Scale(load)
+	played := policy(t, policyName)
+	var results [seeds]*Result
+	var all sync.WaitGroup
+	for i := range results {
+		all.Go(func() { results[i] = Run(f, p, played, uint64(i)+1) })
+	}
+	all.Wait()
 	var o outcomeOf
-	for seed := range uint64(seeds) {
-		r := Run(f, p, policy(t, policyName), seed+1)
+	for _, r := range results {
 		o.worth += r.Worth() / seeds
 		o.worst += r.Worst() / seeds
 		o.failed += float64(r.Failed) / seeds
