--- a/ctl/roles/always_test.go
+++ b/ctl/roles/always_test.go
@@ -51,6 +51,8 @@
 	afterCut      *cutOutcome
 	// idleAtStart are the history hosts of a large cluster that got no slots.
 	idleAtStart []string
+	// inOutage is the answer to a turn at an entry host that started without the platform.
+	inOutage try
 	// onlyCase, from the environment, limits the table to one case.
 	onlyCase = os.Getenv("ROLES_CASE")
 )
@@ -72,6 +74,7 @@
 			}
 			if onlyCase == "" {
 				idleAtStart = idleMembers(t)
+				inOutage = turnInOutage(t)
 				afterCut = carryOutCut(t)
 			}
 		})
--- a/ctl/roles/cluster_test.go
+++ b/ctl/roles/cluster_test.go
@@ -84,6 +84,8 @@
 	retire  *retirements
 	// crowded puts h1 into the data centre of h0.
 	crowded bool
+	// seeds are the addresses of the history hosts at the start.
+	seeds   []string
 	version uint64
 	stops   sync.WaitGroup
 }
@@ -132,7 +134,9 @@
 		retire: &retirements{done: map[string]bool{}},
 	}
 	for i := range historyHosts {
-		c.startHistory(&historyHost{name: fmt.Sprintf("h%d", i), place: fmt.Sprintf("10.2.0.%d", i), dir: t.TempDir()})
+		place := fmt.Sprintf("10.2.0.%d", i)
+		c.startHistory(&historyHost{name: fmt.Sprintf("h%d", i), place: place, dir: t.TempDir()})
+		c.seeds = append(c.seeds, place+":1")
 	}
 	for i := range 3 {
 		c.engines = append(c.engines, c.startTarget(engineService, i))
@@ -279,6 +283,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	dialer := vnet.Dialer{Net: c.net, From: e.place}
 	e.past = quorum.New(dialer, c.dataCentre(e.name), logger(), nil)
+	e.past.Seed(c.seeds)
 	e.host = entry.New(entry.Options{
 		Headers: ownheaders.Headers{}, History: e.past, Dialer: dialer, DataCentre: c.dataCentre(e.name), ReadyPath: "/ready", Log: logger(),
 	})
--- a/ctl/roles/relay_test.go
+++ b/ctl/roles/relay_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/pistachioarch/pistachioarch/daemon/history"
+	"github.com/pistachioarch/pistachioarch/wire/ownheaders"
 )
 
 // relayCases are the ways in which the path of a configuration to the entry hosts
@@ -126,3 +128,28 @@
 		require.Empty(t, idleAtStart)
 	}
 }
+
+// turnInOutage restarts an entry host while the platform is down and sends it a turn.
+func turnInOutage(t *testing.T) try {
+	c := newCluster(t)
+	defer c.close()
+	c.store.SetDown(true)
+	e := c.killEntry(0)
+	c.startEntry(&entryHost{name: e.name, place: e.place})
+	time.Sleep(4 * time.Second)
+	k := newCaller(c)
+	defer k.client.CloseIdleConnections()
+	return k.send("p1", "/turn/", "p1-in0;", 0, map[string]string{
+		ownheaders.Budget: strconv.Itoa(budget), ownheaders.MaxTokens: strconv.Itoa(maxTokens),
+	})
+}
+
+// An entry host that starts while the platform is down learns from history hosts what it
+// needs to serve.
+func TestEntryHostStartsWithoutThePlatform(t *testing.T) {
+	all(t)
+	if onlyCase == "" {
+		require.Equal(t, http.StatusOK, inOutage.Status, "%+v", inOutage)
+		require.True(t, inOutage.Whole)
+	}
+}
--- a/daemon/relay/view.go
+++ b/daemon/relay/view.go
@@ -170,7 +170,7 @@
 
 // answer replies at once if there is something to say, otherwise within wait.
 func (v *view) answer(ask look, wait time.Duration, answer func(*historypb.Reply)) {
-	reply, changed := ask(false)
+	reply, changed := ask(wait <= 0)
 	if reply != nil {
 		answer(reply)
 		return
--- a/wire/objects/follow.go
+++ b/wire/objects/follow.go
@@ -74,6 +74,9 @@
 }
 
 func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
