--- a/daemon/relay/source.go
+++ b/daemon/relay/source.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/core/historypb"
@@ -112,7 +113,11 @@
 func (s *Source) asker(kind string) asker {
 	return func(ctx context.Context, req *historypb.Request, wait time.Duration) (*historypb.Reply, error) {
 		for {
-			reply, err := s.ask(ctx, kind, req, wait)
+			ask := s.ask
+			if s.patience > 0 {
+				ask = s.askAll
+			}
+			reply, err := ask(ctx, kind, req, wait)
 			if err == nil || failure.Is(err, failure.HistoryGone) {
 				s.patience = 0
 				s.pace.answered()
@@ -146,6 +151,41 @@
 	return nil, err
 }
 
+// askAll sends a request to all relays at once and returns the first answer: of a host that
+// has just started, while some relays are still down and connections to them hang.
+func (s *Source) askAll(ctx context.Context, kind string, req *historypb.Request, wait time.Duration) (*historypb.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+askTimeout)
+	defer cancel()
+	relays := s.peers.Relays()
+	answers := make(chan answerOf, len(relays))
+	for _, member := range relays {
+		own := proto.CloneOf(req) // each call sets its id and member
+		go func() {
+			reply, err := s.peers.Ask(ctx, member, own, wait)
+			answers <- answerOf{member, reply, err}
+		}()
+	}
+	var err error = failure.New(failure.PeerUnavailable, "no relay is known")
+	for range relays {
+		a := <-answers
+		if a.err == nil || failure.Is(a.err, failure.HistoryGone) {
+			s.use(kind, a.member)
+			return a.reply, a.err
+		}
+		if !failure.Is(err, failure.PlatformUnavailable) {
+			err = a.err
+		}
+	}
+	return nil, err
+}
+
+// answerOf is what one relay answered.
+type answerOf struct {
+	member string
+	reply  *historypb.Reply
+	err    error
+}
+
 // candidates returns the relays to ask, in order: those that have not failed lately, or
 // the one whose failure is the longest ago. A relay takes those before it in their
 // order, so that one of them follows the platform; other hosts are spread.
--- a/wire/objects/follow.go
+++ b/wire/objects/follow.go
@@ -43,7 +43,11 @@
 		}
 		pause.Reset()
 		to.Replaced(snapshot)
+		began := time.Now()
 		watch(ctx, store, kind, wait, snapshot.Revision, to)
+		// Where a list and a watch come from different relays, the list may be too old for
+		// the watch until the one relay has caught up.
+		sleep(ctx, retryFirst-time.Since(began))
 	}
 }
 
--- a/wire/rpc/client.go
+++ b/wire/rpc/client.go
@@ -21,10 +21,11 @@
 
 const (
 	// dialTimeout bounds one dial: well above a round trip between data centres
-	// (some ms), well below the time a caller waits (seconds).
-	dialTimeout = 500 * time.Millisecond
+	// (some ms). A dial to a host without power hangs until then, also when the host is
+	// back meanwhile: hosts that start after all lost power wait for the longest of these.
+	dialTimeout = 250 * time.Millisecond
 	// redialPause keeps a host that is down from being dialled by every call.
-	redialPause = 100 * time.Millisecond
+	redialPause = 50 * time.Millisecond
 	// silenceLimit closes a connection on which calls wait and nothing arrives.
 	// A partition leaves connections hanging; a new one finds out in one dial. It is
 	// above the pauses of a host whose share of a core is used up (100 ms).
