relay: the wait of a host that starts is bounded by the clock

Cause, by reading: the wait counted polls of 40 ms each, but a poll of seeds that are gone hangs for half a second; a host whose seeds are all gone would have waited for 8 s.

--- a/daemon/relay/harness_test.go
+++ b/daemon/relay/harness_test.go
@@ -185,6 +185,18 @@
 	}
 }
 
+// hanging are relays that never answer.
+type hanging struct{}
+
+func (hanging) Relays() []string { return []string{"a", "b", "c"} }
+
+func (hanging) Relaying() bool { return false }
+
+func (hanging) Ask(ctx context.Context, member string, _ *historypb.Request, _ time.Duration) (*historypb.Reply, error) {
+	<-ctx.Done()
+	return nil, failure.New(failure.PeerUnavailable, "%s does not answer", member)
+}
+
 // member is how the relay id reaches the relays before it.
 type member struct {
 	*peers
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -173,6 +173,21 @@
 	})
 }
 
+// The addresses that a host knows at its start may be of hosts that are gone: connections
+// to them hang.
+func TestAHostDoesNotWaitForSeedsThatAreGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		p := newPlatform()
+		p.set("one", "1")
+		m := &mirror{}
+		go objects.Follow(ctx, NewSource("new", p, hanging{}, log.New(io.Discard)).Patient(), kind, waitTime, m)
+		time.Sleep(startPatience + askTimeout)
+		require.Equal(t, map[string]string{"one": "1"}, m.get())
+	})
+}
+
 func TestARelayThatLostThePlatformSaysSo(t *testing.T) {
 	play(t, 4, func(w *world) {
 		w.relayed.fail(true, false)
--- a/daemon/relay/source.go
+++ b/daemon/relay/source.go
@@ -51,8 +51,10 @@
 	logger *log.Logger
 	// place spreads hosts over relays.
 	place uint32
-	// patience is what is left to wait for the first answer of a relay.
-	patience time.Duration
+	// patience is how long the first answer of a relay is waited for, zero once that is
+	// over; patientUntil is when.
+	patience     time.Duration
+	patientUntil time.Time
 	// seen is the newest revision returned.
 	seen uint64
 	// failed is when each relay that is avoided failed.
@@ -112,6 +114,9 @@
 // asker sends requests to the relays.
 func (s *Source) asker(kind string) asker {
 	return func(ctx context.Context, req *historypb.Request, wait time.Duration) (*historypb.Reply, error) {
+		if s.patientUntil.IsZero() {
+			s.patientUntil = time.Now().Add(s.patience)
+		}
 		for {
 			ask := s.ask
 			if s.patience > 0 {
@@ -123,12 +128,10 @@
 				s.pace.answered()
 				return reply, err
 			}
-			if s.patience <= 0 || failure.Is(err, failure.PlatformUnavailable) || ctx.Err() != nil {
+			if time.Now().After(s.patientUntil) || failure.Is(err, failure.PlatformUnavailable) || ctx.Err() != nil {
 				s.patience = 0
 				return nil, err
 			}
-			s.patience -= relayPoll
-			clear(s.failed)
 			time.Sleep(relayPoll)
 		}
 	}
