roles: an order to reload or to dump does not end a process that stops

Ruled out: the end of the grace time (22.5 s), the target (it worked on), the idle limit. New seeds are taken at a reload; they are used at the start only.

--- a/daemon/cmd/pistachiod/role.go
+++ b/daemon/cmd/pistachiod/role.go
@@ -41,6 +41,7 @@
 )
 
 func runRole(role roleFunc, args []string) int {
+	holdSignals()
 	var opt roleOptions
 	if _, err := flags.NewParser(&opt, flags.Default).ParseArgs(args); err != nil {
 		var help *flags.Error
@@ -84,6 +85,13 @@
 	return exitOK
 }
 
+// holdSignals keeps the signals that ask a process for something from ending it, from its
+// start to its end. Those who act on them begin later and leave earlier: an entry host that
+// was told to reload while it drained was ended with its streams.
+func holdSignals() {
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP, syscall.SIGUSR1)
+}
+
 // logFlush gives the last log lines time to be written before the process ends.
 const logFlush = 20 * time.Millisecond
 
--- a/daemon/settings/reload.go
+++ b/daemon/settings/reload.go
@@ -1,7 +1,7 @@
 package settings
 
 import (
-	"strings"
+	"slices"
 	"time"
 )
 
@@ -18,6 +18,10 @@
 	var out Reloaded
 	take(&out, "limits.memory_mb", &r.MemoryBytes, next.MemoryBytes)
 	take(&out, "log.level", &r.LogLevel, next.LogLevel)
+	if !slices.Equal(r.Seeds, next.Seeds) {
+		r.Seeds = next.Seeds // used at the start only
+		out.Changed = append(out.Changed, "peers.seeds")
+	}
 	keep(&out, "host.name", r.Host, next.Host)
 	keep(&out, "host.data_centre", r.DataCentre, next.DataCentre)
 	keep(&out, "host.data_folder", r.DataFolder, next.DataFolder)
@@ -26,7 +30,6 @@
 	keep(&out, "listen.ready", r.ReadyListen, next.ReadyListen)
 	keep(&out, "listen.first_internal_port", r.HistoryPort, next.HistoryPort)
 	keep(&out, "listen.metrics_port", r.MetricsPort, next.MetricsPort)
-	keep(&out, "peers.seeds", strings.Join(r.Seeds, ","), strings.Join(next.Seeds, ","))
 	keep(&out, "platform.address", r.PlatformAddress, next.PlatformAddress)
 	keep(&out, "limits.descriptors", r.Descriptors, next.Descriptors)
 	keep(&out, "faults.hosts", r.FaultHosts, next.FaultHosts)
