--- a/ctl/always/always_test.go
+++ b/ctl/always/always_test.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"strconv"
 	"strings"
@@ -56,6 +57,8 @@
 var (
 	casesOnce sync.Once
 	done      = map[string]*outcome{}
+	// whileStopping is what answersWhileStopping returned.
+	whileStopping []bool
 )
 
 // runAll carries every case out, once for all tests. They share one bubble of
@@ -69,10 +72,54 @@
 					done[fc.name] = carryOut(t, fc)
 				}
 			}
+			if onlyCase == "" {
+				whileStopping = answersWhileStopping(t)
+			}
 		})
 	})
 }
 
+// answersWhileStopping stops a host to which a connection is kept, and sends it requests until
+// it is gone. It returns, for each answer since, whether it was the last on its connection.
+func answersWhileStopping(t *testing.T) (last []bool) {
+	c := newCluster(t)
+	defer c.close()
+	c.apply("", "first")
+	time.Sleep(5 * time.Second)
+	client := c.clientAt("10.9.0.9")
+	defer client.CloseIdleConnections()
+	ask := func() (closes bool, err error) {
+		resp, err := client.Post("http://"+c.members["h1"].place+":1/v1/programs", "application/json", nil)
+		if err != nil {
+			return false, err
+		}
+		_, err = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		return resp.Close, err
+	}
+	_, err := ask()
+	require.NoError(t, err)
+	c.stop("h1")
+	for {
+		time.Sleep(50 * time.Millisecond)
+		closes, err := ask()
+		if err != nil {
+			return last
+		}
+		last = append(last, closes)
+	}
+}
+
+// A host that stops does not leave callers connections that it is about to close.
+func TestAlwaysAnswersWhileStoppingCloseTheirConnections(t *testing.T) {
+	runAll(t)
+	if onlyCase != "" {
+		return
+	}
+	require.NotEmpty(t, whileStopping)
+	require.NotContains(t, whileStopping, false)
+}
+
 func carryOut(t *testing.T, fc faultCase) *outcome {
 	c := newCluster(t)
 	defer c.close()
--- a/daemon/node/callers.go
+++ b/daemon/node/callers.go
@@ -32,8 +32,9 @@
 // serveHTTP serves a listener until the host ends.
 func (n *Node) serveHTTP(l net.Listener, h http.Handler) {
 	s := &http.Server{
-		Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: n.connections.lastAnswers(h), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return n.ctx },
+		ConnState:   n.connections.state,
 	}
 	n.servers = append(n.servers, s)
 	n.goDo(func() { _ = s.Serve(l) }) // ends with the listener
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -41,18 +41,20 @@
 
 // Node is one running entry host.
 type Node struct {
-	opt      Options
-	set      *settings.Settings
-	log      *log.Logger
-	start    time.Time
-	client   *http.Client
-	servers  []*http.Server
-	platform *platform.Client
-	targets  *target.Client
-	metrics  metrics.Registry
-	ctx      context.Context // ends when the host stops at once
-	cancel   context.CancelFunc
-	work     sync.WaitGroup
+	opt     Options
+	set     *settings.Settings
+	log     *log.Logger
+	start   time.Time
+	client  *http.Client
+	servers []*http.Server
+	// connections are those of callers and operators.
+	connections connections
+	platform    *platform.Client
+	targets     *target.Client
+	metrics     metrics.Registry
+	ctx         context.Context // ends when the host stops at once
+	cancel      context.CancelFunc
+	work        sync.WaitGroup
 
 	mu       sync.Mutex // guards all below
 	host     *host.Host
--- a/daemon/node/stop.go
+++ b/daemon/node/stop.go
@@ -20,12 +20,14 @@
 	defer cancel()
 	defer context.AfterFunc(n.ctx, cancel)() // killed meanwhile
 	n.log.Info("draining")
+	n.connections.closing.Store(true)
 	n.step(&host.Drain{})
 	select {
 	case <-n.drained:
 	case <-ctx.Done():
 		return failure.Wrap(ctx.Err(), failure.Draining, "drain")
 	}
+	n.connections.linger(ctx)
 	if err := n.requests.wait(ctx); err != nil {
 		return err
 	}
