--- a/ctl/replay/plot.go
+++ b/ctl/replay/plot.go
@@ -1,46 +1,24 @@
 package replay
 
 import (
-	"image/color"
 	"strconv"
 
-	"gonum.org/v1/plot"
-	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/plotutil"
-	"gonum.org/v1/plot/vg"
-
-	"github.com/pistachioarch/pistachioarch/core/failure"
-)
-
-// Size of a plot.
-const (
-	plotWidth  = 16 * vg.Centimeter
-	plotHeight = 10 * vg.Centimeter
+	"github.com/pistachioarch/pistachioarch/ctl/lineplot"
 )
 
 // Plot draws the distribution of program latency under each policy, with the
 // wasted cache in the legend, and saves it as PNG.
 func Plot(results []*Result, file string) error {
-	p := plot.New()
-	p.X.Label.Text = "program latency (s)"
-	p.Y.Label.Text = "share of programs"
-	p.Legend.Top = false
-	p.BackgroundColor = color.White
-	for i, r := range results {
-		p.Title.Text = r.Trace
-		points := make(plotter.XYs, len(r.latencies))
-		for j, d := range r.latencies {
-			points[j] = plotter.XY{X: d.Seconds(), Y: float64(j+1) / float64(len(r.latencies))}
-		}
-		line, err := plotter.NewLine(points)
-		if err != nil {
-			return failure.Wrap(err, failure.Internal, "plot")
+	p := lineplot.Picture{XLabel: "program latency (s)", YLabel: "share of programs"}
+	for _, r := range results {
+		p.Title = r.Trace
+		line := lineplot.Line{Name: legend(r)}
+		for i, d := range r.latencies {
+			line.Points = append(line.Points, lineplot.Point{X: d.Seconds(), Y: float64(i+1) / float64(len(r.latencies))})
 		}
-		line.Color = plotutil.Color(i)
-		p.Add(line)
-		p.Legend.Add(legend(r), line)
+		p.Lines = append(p.Lines, line)
 	}
-	return failure.Wrap(p.Save(plotWidth, plotHeight, file), failure.Usage, "plot")
+	return p.Save(file)
 }
 
 func legend(r *Result) string {
--- a/daemon/history/server.go
+++ b/daemon/history/server.go
@@ -224,9 +224,9 @@
 // relays, which need two round trips between data centres more than the sender's did.
 const newerMapPatience = 40 * time.Millisecond
 
-// learnNewerMap reads the newest map unless it comes by itself, once at a time: while the platform is slow, each
-// request with a newer map would else make a call of its own (541 in a second with 24
-// history hosts). The caller holds mu.
+// learnNewerMap reads the newest map unless it comes by itself, once at a time: while the
+// platform is slow, each request with a newer map would else make a call of its own (541 in
+// a second with 24 history hosts). The caller holds mu.
 func (s *Server) learnNewerMap(epoch uint64) {
 	if s.refreshing {
 		return
