--- a/daemon/cmd/pistachiod/role.go
+++ b/daemon/cmd/pistachiod/role.go
@@ -18,6 +18,7 @@
 	"github.com/pistachioarch/pistachioarch/daemon/meter"
 	"github.com/pistachioarch/pistachioarch/daemon/settings"
 	"github.com/pistachioarch/pistachioarch/platform"
+	"github.com/pistachioarch/pistachioarch/wire/tcpopt"
 )
 
 // roleFunc runs a role until the context ends, then stops it within the grace time.
@@ -107,14 +108,8 @@
 // user timeout end a connection through a partition in about a second.
 func peerDialer() *net.Dialer {
 	return &net.Dialer{
-		Timeout: connectTimeout,
-		Control: func(_, _ string, c syscall.RawConn) error {
-			var optErr error
-			err := c.Control(func(fd uintptr) {
-				optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedLimit.Milliseconds()))
-			})
-			return errors.Join(err, optErr)
-		},
+		Timeout:         connectTimeout,
+		Control:         tcpopt.UnackedLimit(unackedLimit),
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 2},
 	}
 }
@@ -126,6 +121,4 @@
 	// unackedLimit closes a connection whose peer has acknowledged nothing for it, so that
 	// one that fell silent is found within a second of a request on it.
 	unackedLimit = 900 * time.Millisecond
-	// tcpUserTimeout is TCP_USER_TIMEOUT of Linux.
-	tcpUserTimeout = 18
 )
--- /dev/null
+++ b/wire/tcpopt/tcpopt_test.go
@@ -0,0 +1,27 @@
+package tcpopt
+
+import (
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestUnackedLimitIsSet(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	d := net.Dialer{Control: UnackedLimit(900 * time.Millisecond)}
+	conn, err := d.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	var got int
+	var optErr error
+	require.NoError(t, raw.Control(func(fd uintptr) { got, optErr = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, userTimeout) }))
+	require.NoError(t, optErr)
+	require.Equal(t, 900, got)
+}
