--- a/ctl/vnet/vnet.go
+++ b/ctl/vnet/vnet.go
@@ -6,7 +6,9 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
+	"time"
 )
 
 // Network is an in-memory network of hosts with addresses "IP:port", which can
@@ -133,28 +135,44 @@
 	return w
 }
 
-// conn stalls while its places are cut off from each other.
+// conn stalls while its places are cut off from each other. What is written at one instant
+// arrives together, as through a socket's buffer: a stall between the head and the body of a
+// frame would leave yamux reading with a mutex held, for which others wait, and virtual time
+// stands still while anybody waits for a mutex.
 type conn struct {
 	net.Conn
-	n        *Network
-	from, to string
-	once     sync.Once
-	done     chan struct{}
+	wrote, read atomic.Int64 // when the last call ended, in nanoseconds
+	n           *Network
+	from, to    string
+	once        sync.Once
+	done        chan struct{}
 }
 
 func (c *conn) Read(b []byte) (int, error) {
 	k, err := c.Conn.Read(b)
-	if !c.n.await(c.from, c.to, c.done) {
+	if !c.pass(&c.read) {
 		return 0, net.ErrClosed
 	}
+	c.read.Store(time.Now().UnixNano())
 	return k, err
 }
 
 func (c *conn) Write(b []byte) (int, error) {
-	if !c.n.await(c.from, c.to, c.done) {
+	if !c.pass(&c.wrote) {
 		return 0, net.ErrClosed
 	}
-	return c.Conn.Write(b)
+	k, err := c.Conn.Write(b)
+	c.wrote.Store(time.Now().UnixNano())
+	return k, err
+}
+
+// pass waits until the places are not cut off, unless the last call ended at this instant;
+// it reports whether the connection is still open.
+func (c *conn) pass(last *atomic.Int64) bool {
+	if last.Load() == time.Now().UnixNano() {
+		return true
+	}
+	return c.n.await(c.from, c.to, c.done)
 }
 
 func (c *conn) Close() error {
--- a/daemon/relay/message.go
+++ b/daemon/relay/message.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/core/historypb"
 	"github.com/pistachioarch/pistachioarch/wire/objects"
@@ -43,8 +45,9 @@
 // Ask sends a request about the platform's objects to the member that client reaches; it
 // is the common part of Peers.Ask.
 func Ask(ctx context.Context, client *rpc.Client, member string, req *historypb.Request, wait time.Duration) (*historypb.Reply, error) {
-	req.Member = member
-	reply, err := client.CallWaiting(ctx, req, wait)
+	own := proto.CloneOf(req) // one that was sent before may still be on its way out
+	own.Member = member
+	reply, err := client.CallWaiting(ctx, own, wait)
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/relay/source.go
+++ b/daemon/relay/source.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/charmbracelet/log"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/core/historypb"
@@ -162,9 +161,8 @@
 	relays := s.peers.Relays()
 	answers := make(chan answerOf, len(relays))
 	for _, member := range relays {
-		own := proto.CloneOf(req) // each call sets its id and member
 		go func() {
-			reply, err := s.peers.Ask(ctx, member, own, wait)
+			reply, err := s.peers.Ask(ctx, member, req, wait)
 			answers <- answerOf{member, reply, err}
 		}()
 	}
