Keys of customers, how current a configuration must be, targets that start again, entries that name no target

Cause: the code knew no customer, key or removal; a target that started again under its id kept the loads, cache and breaker of before; an entry that could not be read left the earlier listing in use. Now: 401 for an unknown key, the key stays at the entry host and is held as a digest, the customer's name goes to the target, its priority before the route's; turns and budgets are kept under the customer's name. Every list and watch says as of when it was surely the newest, counted from before the question and carried through relays; requests with a key are sent only within 0.8 of the bound on removed keys. Targets are ordered by birth; what ended or was heard of an earlier start is left out; their requests end. Entries with fields missing or of another type name no target.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -16,8 +16,11 @@
 
 // Listed is what the platform lists of a target.
 type Listed struct {
-	// ID is of one start of the target; a restart is another target.
-	ID         string
+	// ID names the target. One that starts again under its id has a later Born.
+	ID string
+	// Born is when the target started, in milliseconds since the Unix epoch by its own
+	// clock; 0 where targets do not say so.
+	Born       int64
 	Service    string
 	Address    string
 	DataCentre string
@@ -110,9 +113,18 @@
 	return s
 }
 
-// Set adds or changes a target.
-func (r *Registry) Set(l Listed) {
+// Set adds or changes a target. renewed reports that the target has started again under
+// its id: it is a new one, of which nothing is known. What an earlier start said, and comes
+// late, is left out.
+func (r *Registry) Set(l Listed) (renewed bool) {
 	t := r.targets[l.ID]
+	switch {
+	case t != nil && l.Born < t.Born:
+		return false
+	case t != nil && l.Born > t.Born, t != nil && l.Service != t.Service:
+		r.Remove(l.ID)
+		t, renewed = nil, true
+	}
 	if t == nil {
 		s := r.of(l.Service)
 		t = &Target{service: s, cache: newPrefixCache(), breaker: sched.Breaker{Base: breakerBase, Max: breakerMax}}
@@ -124,6 +136,7 @@
 		clear(r.homeOf)
 	}
 	t.Listed = l
+	return renewed
 }
 
 // Remove takes a target out that is gone.
@@ -153,6 +166,15 @@
 	return t, ok
 }
 
+// Started returns a target if it has not started again since it was listed as born.
+func (r *Registry) Started(id string, born int64) (*Target, bool) {
+	t, ok := r.targets[id]
+	if !ok || t.Born != born {
+		return nil, false
+	}
+	return t, true
+}
+
 // Near returns the targets in the data centre of a target, without itself.
 func (r *Registry) Near(id string) []Listed {
 	t := r.targets[id]
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -287,3 +287,34 @@
 	require.Zero(t, r.targets["a"].Load(0))
 	require.Zero(t, r.targets["a"].inFlight)
 }
+
+// A target that starts again under its id is a new one: nothing of before counts, and what
+// an earlier start said is left out.
+func TestTargetThatStartsAgainIsNew(t *testing.T) {
+	r := NewRegistry("dc1", DefaultWeights())
+	first := Listed{ID: "t1", Born: 100, Service: "s", Address: "a:1", Places: 4}
+	require.False(t, r.Set(first))
+	parts := []request.Part{{ID: "p", Tokens: 500}}
+	c, ok := r.Pick(Query{Service: "s", Parts: parts, PromptTokens: 500}, 0)
+	require.True(t, ok)
+	c.Sent(parts, 0)
+	c.Heard(request.Load{Running: 4, Waiting: 9, Places: 4}, 0)
+	c.Done(Failed, 0)
+	c.Done(Failed, 0)
+
+	second := first
+	second.Born, second.Address = 200, "a:2"
+	require.True(t, r.Set(second))
+	fresh, ok := r.Started("t1", 200)
+	require.True(t, ok)
+	require.Zero(t, fresh.Load(0))
+	c, ok = r.Pick(Query{Service: "s", Parts: parts, PromptTokens: 500}, 0)
+	require.True(t, ok, "the failures of before do not count")
+	require.EqualValues(t, 500, c.Missing, "nor do the prompts that it had read")
+	_, ok = r.Started("t1", 100)
+	require.False(t, ok)
+
+	require.False(t, r.Set(first), "a late word of the earlier start")
+	got, _ := r.Target("t1")
+	require.Equal(t, "a:2", got.Address)
+}
--- a/core/failure/failure.go
+++ b/core/failure/failure.go
@@ -53,6 +53,8 @@
 	HistoryGone         Kind = "history_gone"
 	NoRoute             Kind = "no_route"
 	NoConfiguration     Kind = "no_configuration"
+	StaleConfiguration  Kind = "stale_configuration"
+	QuotaExceeded       Kind = "quota_exceeded"
 	UnknownTurn         Kind = "unknown_turn"
 	HistoryUnavailable  Kind = "history_unavailable"
 	TargetFull          Kind = "target_full"
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -36,6 +36,9 @@
 	// Affinity names the object that the request concerns.
 	Affinity string
 	Model    string
+	// Key is what the caller shows as its customer's key, empty if it shows none. It goes
+	// no further than the entry host.
+	Key string
 }
 
 // Answer is what the head of a target's answer says about itself.
@@ -73,6 +76,10 @@
 	HasUrgency bool
 	// Pin keeps the prompt and the answer from eviction for a while.
 	Pin time.Duration
+	// HideKey keeps the caller's key from the target.
+	HideKey bool
+	// Customer is the caller's customer, empty on public routes.
+	Customer string
 	// LastEvent continues an interrupted stream after this event.
 	LastEvent string
 }
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -60,6 +60,8 @@
 	// Retained routes keep the turns of programs for Retention.
 	Retained  bool
 	Retention time.Duration
+	// Public routes are served without a key.
+	Public bool
 }
 
 // Engine is what a service of model engines says of its engines.
@@ -96,6 +98,8 @@
 	Limits   Limits
 	services map[string]*Service
 	hosts    map[string][]*Route // longest prefix first
+	// customers is nil where callers need no keys.
+	customers *Customers
 }
 
 // NewTable builds a table from its parts.
@@ -114,6 +118,19 @@
 	return t
 }
 
+// Require makes callers show a key of one of the customers. It is called before the table
+// is in use.
+func (t *Table) Require(c *Customers) *Table {
+	t.customers = c
+	return t
+}
+
+// Keyed reports whether callers must show a key.
+func (t *Table) Keyed() bool { return t.customers != nil }
+
+// Customers returns the customers, nil where callers need no keys.
+func (t *Table) Customers() *Customers { return t.customers }
+
 // Newer reports whether t may replace current: versions never go back.
 func (t *Table) Newer(current *Table) bool {
 	return current == nil || t.Version > current.Version
--- a/daemon/cmd/pistachiod/entry.go
+++ b/daemon/cmd/pistachiod/entry.go
@@ -21,6 +21,7 @@
 	host := entry.New(entry.Options{
 		Headers: platform.Headers{}, History: past, Dialer: dialer,
 		DataCentre: set.DataCentre, MemoryBytes: set.MemoryBytes, Descriptors: set.Descriptors,
+		Keys:      entry.KeyRules{MaxAge: set.KeyMaxAge(), SureAge: set.KeySureAge()},
 		ReadyPath: platform.ReadyPath, Log: logger, Meter: o.meter,
 	})
 	o.state = func() any { return host.State() }
@@ -37,7 +38,7 @@
 	store := meter.Store(platform.NewStore(set.PlatformAddress), o.meter)
 	o.serve(follow, set.MetricsListen())
 	source := func() *relay.Source { return relay.NewSource(set.Host, store, past, logger) }
-	go objects.Follow(follow, source().Patient(), platform.ConfigKind, set.WatchFor(), entry.NewConfigView(host, platform.ConfigName, platform.Table))
+	go objects.Follow(follow, source().Patient(), platform.ConfigKind, set.ConfigWatch(), entry.NewConfigView(host, platform.ConfigName, platform.Table))
 	go objects.Follow(follow, source().Patient(), platform.TargetKind, set.WatchFor(), entry.NewTargetView(host, platform.Target))
 	slots := source()
 	if len(set.Seeds) > 0 {
--- /dev/null
+++ b/daemon/entry/customer.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/core/routing"
+)
+
+// KeyRules say how current the configuration must be to serve callers by their keys.
+type KeyRules struct {
+	// MaxAge is the longest time since the configuration was surely the newest after which
+	// requests with a key are still sent: a key may have been taken away since. 0 means
+	// that there is no bound.
+	MaxAge time.Duration
+	// SureAge is up to when an unknown key is surely unknown. A host that is further
+	// behind refuses it as one that may be known elsewhere.
+	SureAge time.Duration
+}
+
+// confirm notes that the configuration in force was the newest at an instant.
+func (h *Host) confirm(asOf time.Time) {
+	if asOf.IsZero() {
+		return
+	}
+	at := int64(asOf.Sub(h.start))
+	for {
+		old := h.confirmedAt.Load()
+		if old >= at || h.confirmedAt.CompareAndSwap(old, at) {
+			return
+		}
+	}
+}
+
+// neverConfirmed is confirmedAt before the first sound word of the platform.
+const neverConfirmed = -1 << 62
+
+// configurationAge is how long ago the configuration in force was surely the newest.
+func (h *Host) configurationAge() time.Duration {
+	return h.now() - time.Duration(h.confirmedAt.Load())
+}
+
+// staleFor is for how long the configuration has been too old to serve by keys; 0 while it
+// is not.
+func (h *Host) staleFor() time.Duration {
+	t := h.table.Load()
+	if h.Keys.MaxAge == 0 || t == nil || !t.Keyed() {
+		return 0
+	}
+	return max(0, h.configurationAge()-h.Keys.MaxAge)
+}
+
+// authorise finds the customer that the caller's key belongs to, in the newest
+// configuration. It is called before each send, so that a key that was taken away is used
+// by no repeat either.
+func (x *exchange) authorise() error {
+	t := x.host.table.Load()
+	if !t.Keyed() || x.route.Public {
+		return nil
+	}
+	if stale := x.host.staleFor(); stale > 0 {
+		return failure.Retry(failure.StaleConfiguration, max(retryLater, rotationTime-stale),
+			"the configuration was confirmed %d ms ago", x.host.configurationAge().Milliseconds())
+	}
+	customer, known := t.Customers().Holder(routing.DigestKey(x.call.Key))
+	if known && (x.customer == nil || x.customer.Name == customer.Name) {
+		x.customer = customer
+		return nil
+	}
+	if age := x.host.configurationAge(); x.host.Keys.SureAge > 0 && age > x.host.Keys.SureAge {
+		return failure.Retry(failure.StaleConfiguration, retryLater, "unknown key, the configuration was confirmed %d ms ago", age.Milliseconds())
+	}
+	return failure.New(failure.Unauthorized, "unknown key in version %d", t.Version)
+}
+
+// customerName is the caller's customer, empty where there is none.
+func (x *exchange) customerName() string {
+	if x.customer == nil {
+		return ""
+	}
+	return x.customer.Name
+}
+
+// priority ranks the request: the customer's goes before the route's.
+func (x *exchange) priority() int {
+	if x.customer != nil && x.customer.HasPriority {
+		return x.customer.Priority
+	}
+	return x.route.Priority
+}
+
+// owned is the name under which something of the caller's is kept: no caller reaches what
+// is kept for another customer. Callers cannot send the separator in a header.
+func (x *exchange) owned(name string) string {
+	if name == "" || x.customer == nil {
+		return name
+	}
+	return x.customer.Name + "\x00" + name
+}
--- /dev/null
+++ b/daemon/entry/customer_test.go
@@ -0,0 +1,156 @@
+package entry
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachioarch/pistachioarch/core/routing"
+	"github.com/pistachioarch/pistachioarch/wire/ownheaders"
+)
+
+// keyed puts a newer version in force, with customers and the route /open/ that is public.
+func (s *system) keyed(customers ...*routing.Customer) {
+	s.t.Helper()
+	c, err := routing.NewCustomers(customers)
+	require.NoError(s.t, err)
+	old := s.host.table.Load()
+	open := &routing.Route{Host: "example", Prefix: "/open/", Services: []routing.Share{{Service: "s", Weight: 1}}, Attempts: 2, Public: true}
+	service, _ := old.Service("s")
+	routes := append(old.Routes(), open)
+	s.host.SetTable(routing.NewTable(old.Version+1, old.Limits, []*routing.Service{service}, routes).Require(c))
+	s.host.confirm(time.Now())
+}
+
+// customer has one key, which is its name with "-key" behind.
+func customer(name string) *routing.Customer {
+	return &routing.Customer{Name: name, Keys: []routing.KeyDigest{routing.DigestKey(name + "-key")}}
+}
+
+func answering(_ int, _ received, id string) (string, bool) { return whole(id, "ok"), false }
+
+func TestKeyDecidesWhoseTheRequestIs(t *testing.T) {
+	x := newTarget(t, "t1", answering)
+	s := newSystem(t, x)
+	s.keyed(customer("a"), customer("b"))
+	for name, c := range map[string]struct {
+		path, key, claimed string
+		status             int
+		customer           string
+	}{
+		"a":           {"/plain/", "a-key", "", http.StatusOK, "a"},
+		"b":           {"/plain/", "b-key", "a", http.StatusOK, "b"},
+		"unknown key": {"/plain/", "c-key", "a", http.StatusUnauthorized, ""},
+		"no key":      {"/plain/", "", "a", http.StatusUnauthorized, ""},
+		"public":      {"/open/", "", "a", http.StatusOK, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			before := len(x.requests())
+			got := s.post(c.path, "", ownheaders.ID, name, ownheaders.Key, c.key, ownheaders.Customer, c.claimed)
+			require.Equal(t, c.status, got.status)
+			seen := x.requests()[before:]
+			if c.status != http.StatusOK {
+				require.Empty(t, seen)
+				return
+			}
+			require.Equal(t, c.customer, seen[0].Customer)
+			require.Empty(t, seen[0].Key)
+		})
+	}
+}
+
+func TestWithoutCustomersNoKeyIsNeeded(t *testing.T) {
+	x := newTarget(t, "t1", answering)
+	s := newSystem(t, x)
+	require.Equal(t, http.StatusOK, s.post("/plain/", "", ownheaders.ID, "1", ownheaders.Key, "of another system").status)
+	require.Equal(t, "of another system", x.requests()[0].Key)
+}
+
+func TestRemovedKeyIsRefusedAtOnce(t *testing.T) {
+	x := newTarget(t, "t1", answering)
+	s := newSystem(t, x)
+	s.keyed(customer("a"), customer("b"))
+	require.Equal(t, http.StatusOK, s.post("/plain/", "", ownheaders.ID, "1", ownheaders.Key, "a-key").status)
+	s.keyed(customer("b"))
+	require.Equal(t, http.StatusUnauthorized, s.post("/plain/", "", ownheaders.ID, "2", ownheaders.Key, "a-key").status)
+	require.Len(t, x.requests(), 1)
+}
+
+// A key that is taken away while a request is repeated is not used for the repeat.
+func TestRepeatNeedsTheKeyToo(t *testing.T) {
+	var s *system
+	breaking := func(n int, _ received, id string) (string, bool) {
+		s.keyed(customer("b"))
+		return refused(id), false
+	}
+	a, b := newTarget(t, "t1", breaking), newTarget(t, "t2", breaking)
+	s = newSystem(t, a, b)
+	s.keyed(customer("a"), customer("b"))
+	require.Equal(t, http.StatusUnauthorized, s.post("/plain/", "", ownheaders.ID, "1", ownheaders.Key, "a-key").status)
+	require.Equal(t, 1, len(a.requests())+len(b.requests()))
+}
+
+// A host that has not heard of the platform for the longest time allowed serves no keys,
+// says so, and serves public routes; the first sound word ends that.
+func TestStaleConfigurationServesNoKeys(t *testing.T) {
+	x := newTarget(t, "t1", answering)
+	s := newSystem(t, x)
+	s.host.Keys = KeyRules{MaxAge: time.Hour, SureAge: time.Minute}
+	s.keyed(customer("a"))
+	s.host.confirmedAt.Store(int64(s.host.now() - 2*time.Hour))
+	require.False(t, s.host.Ready())
+	got := s.post("/plain/", "", ownheaders.ID, "1", ownheaders.Key, "a-key")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.NotEmpty(t, got.header.Get("Retry-After"))
+	require.Empty(t, x.requests())
+	require.Equal(t, http.StatusOK, s.post("/open/", "", ownheaders.ID, "2").status)
+	s.host.confirm(time.Now())
+	require.Equal(t, http.StatusOK, s.post("/plain/", "", ownheaders.ID, "3", ownheaders.Key, "a-key").status)
+}
+
+// A host whose word of the platform is not new does not know that a key is unknown.
+func TestUnknownKeyIsSureOnlyWithANewWord(t *testing.T) {
+	s := newSystem(t, newTarget(t, "t1", answering))
+	s.host.Keys = KeyRules{MaxAge: time.Hour, SureAge: time.Minute}
+	s.keyed(customer("a"))
+	s.host.confirmedAt.Store(int64(s.host.now() - 2*time.Minute))
+	require.Equal(t, http.StatusServiceUnavailable, s.post("/plain/", "", ownheaders.ID, "1", ownheaders.Key, "b-key").status)
+	require.Equal(t, http.StatusOK, s.post("/plain/", "", ownheaders.ID, "2", ownheaders.Key, "a-key").status)
+}
+
+func TestConfirmationNeverGoesBack(t *testing.T) {
+	s := newSystem(t)
+	now := time.Now()
+	s.host.confirm(now)
+	at := s.host.confirmedAt.Load()
+	s.host.confirm(now.Add(-time.Second))
+	s.host.confirm(time.Time{})
+	require.Equal(t, at, s.host.confirmedAt.Load())
+}
+
+func TestTurnsBelongToTheirCustomer(t *testing.T) {
+	x := newTarget(t, "t1", func(_ int, _ received, id string) (string, bool) { return streamed(id, 1, "said"), false })
+	s := newSystem(t, x)
+	s.keyed(customer("a"), customer("b"))
+	turn := func(key, id, previous, input string) answer {
+		return s.post("/turn/", input, ownheaders.ID, id, ownheaders.Program, "p", ownheaders.Previous, previous,
+			ownheaders.Budget, "100", ownheaders.MaxTokens, "12", ownheaders.Key, key)
+	}
+	require.Equal(t, http.StatusOK, turn("a-key", "t1", "", "one ").status)
+	require.Equal(t, http.StatusNotFound, turn("b-key", "t2", "t1", "two").status)
+	require.Equal(t, http.StatusOK, turn("a-key", "t3", "t1", "three").status)
+	seen := x.requests()
+	require.Len(t, seen, 2)
+	require.Equal(t, "one said\nthree", seen[1].Body)
+}
+
+func TestCustomersPriorityGoesFirst(t *testing.T) {
+	x := &exchange{route: &routing.Route{Priority: 3}}
+	require.Equal(t, 3, x.priority())
+	x.customer = &routing.Customer{Priority: 1}
+	require.Equal(t, 3, x.priority())
+	x.customer.HasPriority = true
+	require.Equal(t, 1, x.priority())
+}
--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -91,6 +91,9 @@
 
 // pick chooses the next target, or turns the request away.
 func (x *exchange) pick() (balance.Listed, error) {
+	if err := x.authorise(); err != nil {
+		return balance.Listed{}, err
+	}
 	h := x.host
 	h.mu.Lock()
 	v := h.dispatch.Decide(dispatch.Request{
@@ -109,7 +112,7 @@
 	c.Sent(x.call.Prefix, h.now())
 	h.mu.Unlock()
 	x.tried[listed.ID] = true
-	x.target, x.load = listed.ID, float64(c.Load)/float64(max(1, c.Places))
+	x.target, x.born, x.load = listed.ID, listed.Born, float64(c.Load)/float64(max(1, c.Places))
 	h.Log.Info("request routed", "request", x.call.ID, "program", x.call.Program, "route", x.route.Name, "config", x.table.Version,
 		"target", listed.ID, "data_centre", listed.DataCentre, "load", c.Load, "places", c.Places, "report_age_ms", c.ReportAge.Milliseconds(),
 		"prompt", x.call.PromptTokens, "missing", c.Missing, "candidates", c.Candidates, "send", x.sends+1,
@@ -143,7 +146,7 @@
 	h.Meter.Count("sends", o.String())
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if t, ok := h.registry.Target(target); ok {
+	if t, ok := h.registry.Started(target, x.born); ok {
 		t.Done(o, h.now())
 	}
 }
@@ -153,6 +156,9 @@
 	h := x.host
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if _, ok := h.registry.Started(x.target, x.born); !ok {
+		return
+	}
 	h.registry.Took(x.target, x.route.Name, d, h.now())
 }
 
@@ -161,20 +167,23 @@
 	h := x.host
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if _, ok := h.registry.Started(x.target, x.born); !ok {
+		return
+	}
 	h.registry.Streamed(x.target, x.load, d, h.now())
 }
 
 // heard takes the load that a target tells at the head of its answer. At the end of
 // a stream it would be hundreds of milliseconds old: mean worth of 12 high days
 // 0.802 then, 0.818 so.
-func (h *Host) heard(target string, a request.Answer) {
-	h.reach.heard(target)
+func (h *Host) heard(t balance.Listed, a request.Answer) {
+	h.reach.heard(t.ID)
 	if !a.HasLoad {
 		return
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if t, ok := h.registry.Target(target); ok {
+	if t, ok := h.registry.Started(t.ID, t.Born); ok {
 		t.Heard(a.Load, h.now())
 	}
 }
@@ -216,7 +225,7 @@
 	switch {
 	case err == nil:
 		x.host.Meter.Observe("target_head", time.Since(x.sent))
-		x.host.heard(t.ID, resp.Answer)
+		x.host.heard(t, resp.Answer)
 	case failure.From(err).Ran == failure.RanNo && ctx.Err() == nil:
 		x.host.reach.lost(t.ID, t.Address)
 	}
@@ -258,7 +267,8 @@
 func (x *exchange) outgoing(t balance.Listed, lastEvent string) *targetpool.Request {
 	header := x.host.Headers.Outgoing(x.r.Header, request.Send{
 		Target: t.ID, Left: time.Until(x.deadline), LastEvent: lastEvent,
-		Urgency: min(leastUrgent, x.route.Priority), HasUrgency: x.engine != nil,
+		Urgency: min(leastUrgent, x.priority()), HasUrgency: x.engine != nil,
+		HideKey: x.host.table.Load().Keyed(), Customer: x.customerName(),
 	})
 	stripHop(header)
 	idle := maxIdle
--- a/daemon/entry/handle.go
+++ b/daemon/entry/handle.go
@@ -15,14 +15,16 @@
 
 // exchange is one caller's request and what became of it.
 type exchange struct {
-	host   *Host
-	w      http.ResponseWriter
-	r      *http.Request
-	call   request.Call
-	table  *routing.Table
-	route  *routing.Route
-	engine *routing.Engine // nil for plain services
-	began  time.Time
+	host  *Host
+	w     http.ResponseWriter
+	r     *http.Request
+	call  request.Call
+	table *routing.Table
+	route *routing.Route
+	// customer is whose key the caller showed, nil where none is needed.
+	customer *routing.Customer
+	engine   *routing.Engine // nil for plain services
+	began    time.Time
 	// deadline is the earlier of the caller's and the route's.
 	deadline time.Time
 	body     []byte
@@ -38,6 +40,8 @@
 	// underWay reports that the program has had an answer before.
 	underWay bool
 	target   string
+	// born is of the start of target to which the request went.
+	born int64
 	// sent is when the request went to target, load the target's by then, in places.
 	sent time.Time
 	load float64
@@ -110,6 +114,9 @@
 		return failure.New(failure.NoRoute, "no route for %s%s in version %d", x.r.Host, x.r.URL.Path, x.table.Version)
 	}
 	x.route = route
+	if err := x.authorise(); err != nil {
+		return err
+	}
 	x.service = route.Choose(x.draw())
 	if s, ok := x.table.Service(x.service); ok {
 		x.engine = s.Engine
--- a/daemon/entry/harness_test.go
+++ b/daemon/entry/harness_test.go
@@ -39,6 +39,7 @@
 // received is a request as a target saw it.
 type received struct {
 	Target, Method, URI, Body, LastEvent, LeftMs string
+	Key, Customer                                string
 }
 
 // target answers raw bytes per request; see answerFunc.
@@ -85,6 +86,7 @@
 		r := received{
 			Target: req.Header.Get(ownheaders.Target), Method: req.Method, URI: req.RequestURI, Body: string(body),
 			LastEvent: req.Header.Get("Last-Event-Id"), LeftMs: req.Header.Get(ownheaders.Left),
+			Key: req.Header.Get(ownheaders.Key), Customer: req.Header.Get(ownheaders.Customer),
 		}
 		x.mu.Lock()
 		n := len(x.seen)
--- a/daemon/entry/host.go
+++ b/daemon/entry/host.go
@@ -45,6 +45,8 @@
 	// MemoryBytes and Descriptors are the process's limits; 0 if there is none.
 	MemoryBytes int64
 	Descriptors int
+	// Keys is how current the configuration must be for requests with a key.
+	Keys KeyRules
 	// ReadyPath is where the platform asks whether the host takes requests.
 	ReadyPath string
 	Log       *log.Logger
@@ -60,11 +62,13 @@
 	configured chan struct{}
 	// configuredAt is when the table in force came, in nanoseconds of now.
 	configuredAt atomic.Int64
-	server       atomic.Pointer[http.Server]
-	listener     net.Listener
-	pool         *targetpool.Pool
-	reach        *reach
-	start        time.Time
+	// confirmedAt is when the table in force was surely the newest, in nanoseconds of now.
+	confirmedAt atomic.Int64
+	server      atomic.Pointer[http.Server]
+	listener    net.Listener
+	pool        *targetpool.Pool
+	reach       *reach
+	start       time.Time
 
 	mu        sync.Mutex
 	registry  *balance.Registry
@@ -88,6 +92,7 @@
 		dispatch:   dispatch.New(registry, dispatch.DefaultLimits()),
 		admission:  balance.NewAdmission(o.MemoryBytes, o.Descriptors),
 	}
+	h.confirmedAt.Store(neverConfirmed)
 	h.reach = newReach(h)
 	h.gauges()
 	return h
@@ -175,11 +180,11 @@
 	}
 }
 
-// Ready reports whether the host can serve: it has a configuration and knows the
-// history hosts, and it is not about to stop.
+// Ready reports whether the host can serve: it has a configuration that is current enough
+// and knows the history hosts, and it is not about to stop.
 func (h *Host) Ready() bool {
 	served := h.History.Isolated() == 0 || h.History.TakeoverIn() > 0
-	return !h.draining.Load() && h.table.Load() != nil && h.History.Ready() && served
+	return !h.draining.Load() && h.table.Load() != nil && h.staleFor() == 0 && h.History.Ready() && served
 }
 
 // rotationTime is how long the platform takes to send callers elsewhere after a
@@ -267,6 +272,9 @@
 	failure.NoRoute:            http.StatusNotFound,
 	failure.UnknownTurn:        http.StatusNotFound,
 	failure.BudgetExhausted:    http.StatusPaymentRequired,
+	failure.Unauthorized:       http.StatusUnauthorized,
+	failure.QuotaExceeded:      http.StatusTooManyRequests,
+	failure.StaleConfiguration: http.StatusServiceUnavailable,
 	failure.NoConfiguration:    http.StatusServiceUnavailable,
 	failure.HistoryUnavailable: http.StatusServiceUnavailable,
 	failure.NoTarget:           http.StatusServiceUnavailable,
--- a/daemon/entry/reach.go
+++ b/daemon/entry/reach.go
@@ -96,6 +96,17 @@
 	delete(r.by, target)
 }
 
+// renewed drops what is known of a target that has started again under its id, and ends
+// the requests that it had before: it knows nothing of them.
+func (r *reach) renewed(target string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l := r.by[target]; l != nil && !l.broken {
+		close(l.cut)
+	}
+	delete(r.by, target)
+}
+
 // guard returns a context that ends with errUnreachable when the target cannot be
 // reached any more, and probes it when it has been silent.
 func (r *reach) guard(ctx context.Context, t balance.Listed) (context.Context, context.CancelFunc) {
--- a/daemon/entry/reach_test.go
+++ b/daemon/entry/reach_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -11,6 +13,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pistachioarch/pistachioarch/core/balance"
+	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/wire/objects"
+	"github.com/pistachioarch/pistachioarch/wire/ownheaders"
 )
 
 // lineDialer connects or hangs, as a link that works or is cut.
@@ -126,3 +131,42 @@
 		require.False(t, h.heardFrom("far", farSilence), "no history hosts are known")
 	})
 }
+
+// A target that starts again under its id knows nothing of the requests that it had: they
+// end at once, and what may be repeated is.
+func TestRequestsAtATargetThatStartsAgainEnd(t *testing.T) {
+	var s *system
+	var b *target
+	ended := make(chan struct{})
+	a := newTarget(t, "t1", func(_ int, _ received, id string) (string, bool) {
+		view := NewTargetView(s.host, func(id string, spec []byte) (balance.Listed, error) {
+			return balance.Listed{ID: id, Born: 2, Service: "s", Address: b.listener.Addr().String(), DataCentre: "dc1", Places: 4}, nil
+		})
+		view.Changed(objects.Changes{Events: []objects.Event{{Object: objects.Object{Name: "t1"}}}})
+		<-ended
+		return "", true
+	})
+	b = newTarget(t, "t1", answering)
+	s = newSystem(t, a)
+	got := s.post("/plain/", "", ownheaders.ID, "1")
+	close(ended)
+	require.Equal(t, http.StatusBadGateway, got.status, "the only target was tried already")
+	require.Equal(t, http.StatusOK, s.post("/plain/", "", ownheaders.ID, "2").status)
+	require.Len(t, b.requests(), 1)
+}
+
+// An entry that cannot be read names no target: the one that was listed under its name is
+// not used any more, the others are.
+func TestUnreadableEntryEndsItsTarget(t *testing.T) {
+	a, b := newTarget(t, "t1", answering), newTarget(t, "t2", answering)
+	s := newSystem(t, a, b)
+	view := NewTargetView(s.host, func(id string, _ []byte) (balance.Listed, error) {
+		return balance.Listed{}, failure.New(failure.InvalidDeclaration, "not readable")
+	})
+	view.Changed(objects.Changes{Events: []objects.Event{{Object: objects.Object{Name: "t1"}}}})
+	for i := range 6 {
+		require.Equal(t, http.StatusOK, s.post("/plain/", "", ownheaders.ID, strconv.Itoa(i)).status)
+	}
+	require.Empty(t, a.requests())
+	require.Len(t, b.requests(), 6)
+}
--- a/daemon/entry/turn.go
+++ b/daemon/entry/turn.go
@@ -75,7 +75,7 @@
 // of the program reserved before and the chain that this one continues.
 func (t *turn) begin(ctx context.Context) error {
 	x := t.x
-	if !x.host.History.Servable(x.call.Program) {
+	if !x.host.History.Servable(x.owned(x.call.Program)) {
 		return failure.Retry(failure.HistoryUnavailable, x.host.comeBack(), "history hosts of the program are out of reach")
 	}
 	ctx, cancel := context.WithTimeout(ctx, historyPatience)
@@ -84,14 +84,14 @@
 		Reserve: &historypb.Reserve{Turn: x.call.ID, Tokens: x.call.MaxTokens},
 	}}
 	history := x.host.History
-	if err := history.Write(ctx, x.call.Program, x.retention(), reserve); err != nil {
+	if err := history.Write(ctx, x.owned(x.call.Program), x.retention(), reserve); err != nil {
 		return t.later(err)
 	}
 	previous := ""
 	if x.route.Retained {
-		previous = x.call.Previous
+		previous = x.owned(x.call.Previous)
 	}
-	past, err := history.Read(ctx, x.call.Program, previous)
+	past, err := history.Read(ctx, x.owned(x.call.Program), previous)
 	if err != nil {
 		return t.later(err)
 	}
@@ -115,7 +115,7 @@
 			return nil, failure.New(failure.BudgetExhausted, "%d of %d used by others, %d wanted",
 				past.Usage.Without(call.ID), call.Budget, call.MaxTokens)
 		}
-		newer, err := t.x.host.History.Read(ctx, call.Program, "")
+		newer, err := t.x.host.History.Read(ctx, t.x.owned(call.Program), "")
 		if err != nil {
 			return nil, t.later(err)
 		}
@@ -167,7 +167,7 @@
 	for _, c := range chain {
 		records = append(records, &historypb.Record{Change: &historypb.Record_Turn{Turn: c}})
 	}
-	if err := t.x.host.History.Write(ctx, t.x.call.Program, t.x.retention(), records...); err != nil {
+	if err := t.x.host.History.Write(ctx, t.x.owned(t.x.call.Program), t.x.retention(), records...); err != nil {
 		return t.later(err)
 	}
 	return nil
@@ -185,9 +185,9 @@
 	defer func() { t.x.host.Meter.Observe("turn_finish", time.Since(began)) }()
 	content := append(append([]byte(nil), t.input...), t.output...)
 	records := []*historypb.Record{t.settlement(), {Change: &historypb.Record_Turn{
-		Turn: &historypb.Turn{Turn: t.x.call.ID, Previous: t.x.call.Previous, Content: content},
+		Turn: &historypb.Turn{Turn: t.x.owned(t.x.call.ID), Previous: t.x.owned(t.x.call.Previous), Content: content},
 	}}}
-	if err := t.x.host.History.Write(ctx, t.x.call.Program, t.x.retention(), records...); err != nil {
+	if err := t.x.host.History.Write(ctx, t.x.owned(t.x.call.Program), t.x.retention(), records...); err != nil {
 		return failure.Unknown(failure.HistoryUnavailable, "turn not kept: %v", err)
 	}
 	return nil
@@ -206,7 +206,7 @@
 	h.work.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), settlePatience)
 		defer cancel()
-		if err := h.History.Write(ctx, t.x.call.Program, t.x.retention(), t.settlement()); err != nil {
+		if err := h.History.Write(ctx, t.x.owned(t.x.call.Program), t.x.retention(), t.settlement()); err != nil {
 			h.Meter.Count("budgets", "unsettled")
 			h.Log.Warn("budget not settled", "request", t.x.call.ID, "program", t.x.call.Program, "tokens", t.tokens(), "error", err.Error())
 		}
--- a/daemon/entry/view.go
+++ b/daemon/entry/view.go
@@ -28,6 +28,7 @@
 	for _, o := range s.Items {
 		v.take(o)
 	}
+	v.host.confirm(s.AsOf)
 }
 
 // Changed implements objects.Listener.
@@ -38,6 +39,7 @@
 			v.take(e.Object)
 		}
 	}
+	v.host.confirm(changes.AsOf)
 }
 
 // Lost implements objects.Listener: the configuration in force stays.
@@ -119,11 +121,7 @@
 			v.set(e.Object)
 			continue
 		}
-		v.host.mu.Lock()
-		v.host.registry.Remove(e.Object.Name)
-		v.host.mu.Unlock()
-		v.host.reach.forget(e.Object.Name)
-		v.host.Log.Info("target gone", "target", e.Object.Name)
+		v.remove(e.Object.Name)
 	}
 }
 
@@ -133,14 +131,32 @@
 func (v *TargetView) set(o objects.Object) {
 	l, err := v.decode(o.Name, o.Spec)
 	if err != nil {
-		v.host.Log.Error("target not taken", "target", o.Name, "error", err.Error())
+		v.host.Log.Error("target not taken", "target", o.Name, "revision", o.Revision, "error", err.Error())
+		v.remove(o.Name)
 		return
 	}
 	v.host.mu.Lock()
-	defer v.host.mu.Unlock()
 	old, known := v.host.registry.Target(l.ID)
-	if !known || old.Draining != l.Draining {
-		v.host.Log.Info("target listed", "target", l.ID, "service", l.Service, "draining", l.Draining)
+	changed := !known || old.Draining != l.Draining || old.Born != l.Born
+	renewed := v.host.registry.Set(l)
+	v.host.mu.Unlock()
+	if changed {
+		v.host.Log.Info("target listed", "target", l.ID, "service", l.Service, "draining", l.Draining, "born", l.Born, "renewed", renewed)
+	}
+	if renewed {
+		v.host.pool.Forget(old.Address)
+		v.host.reach.renewed(l.ID)
+	}
+}
+
+// remove takes a target out of use: it is gone, or its entry names none that could be used.
+func (v *TargetView) remove(id string) {
+	v.host.mu.Lock()
+	_, known := v.host.registry.Target(id)
+	v.host.registry.Remove(id)
+	v.host.mu.Unlock()
+	v.host.reach.forget(id)
+	if known {
+		v.host.Log.Info("target gone", "target", id)
 	}
-	v.host.registry.Set(l)
 }
--- a/daemon/relay/message.go
+++ b/daemon/relay/message.go
@@ -17,11 +17,12 @@
 
 // listBy reads a list through an asker.
 func listBy(ctx context.Context, ask asker, list *historypb.ListObjects) (objects.Snapshot, error) {
+	asked := time.Now()
 	reply, err := ask(ctx, &historypb.Request{Call: &historypb.Request_ListObjects{ListObjects: list}}, 0)
 	if err != nil {
 		return objects.Snapshot{}, err
 	}
-	snapshot := objects.Snapshot{Revision: reply.Revision}
+	snapshot := objects.Snapshot{Revision: reply.Revision, AsOf: asOf(reply, asked)}
 	for _, o := range reply.Objects {
 		snapshot.Items = append(snapshot.Items, decode(o).Object)
 	}
@@ -31,17 +32,36 @@
 // watchBy waits for changes through an asker.
 func watchBy(ctx context.Context, ask asker, kind string, revision uint64, wait time.Duration) (objects.Changes, error) {
 	watch := &historypb.WatchObjects{Kind: kind, Revision: revision, WaitMs: uint32(wait.Milliseconds())}
+	asked := time.Now()
 	reply, err := ask(ctx, &historypb.Request{Call: &historypb.Request_WatchObjects{WatchObjects: watch}}, wait)
 	if err != nil {
 		return objects.Changes{}, err
 	}
-	changes := objects.Changes{Revision: max(revision, reply.Revision)}
+	changes := objects.Changes{Revision: max(revision, reply.Revision), AsOf: asOf(reply, asked)}
 	for _, o := range reply.Objects {
 		changes.Events = append(changes.Events, decode(o))
 	}
 	return changes, nil
 }
 
+// date notes in a reply when its state was surely the newest, for a request taken at taken.
+func date(reply *historypb.Reply, state, taken time.Time) {
+	if !state.IsZero() {
+		reply.AsOfUs = proto.Int64(state.Sub(taken).Microseconds() - 1)
+	}
+}
+
+// asOf is the instant that date noted, as the sender of a request may count it: the
+// request was taken after it was asked, so the sender's instant is never later.
+//
+// asked is before any relay that failed was asked first.
+func asOf(reply *historypb.Reply, asked time.Time) time.Time {
+	if reply.AsOfUs == nil {
+		return time.Time{}
+	}
+	return asked.Add(time.Duration(reply.GetAsOfUs()) * time.Microsecond)
+}
+
 // Ask sends a request about the platform's objects to the member that client reaches; it
 // is the common part of Peers.Ask.
 func Ask(ctx context.Context, client *rpc.Client, member string, req *historypb.Request, wait time.Duration) (*historypb.Reply, error) {
--- a/daemon/relay/server.go
+++ b/daemon/relay/server.go
@@ -35,27 +35,29 @@
 
 // Handle answers ListObjects and WatchObjects; it is an rpc.Handler.
 func (s *Server) Handle(req *historypb.Request, answer func(*historypb.Reply)) {
+	taken := time.Now()
 	switch call := req.Call.(type) {
 	case *historypb.Request_ListObjects:
-		s.list(call.ListObjects, answer)
+		s.list(call.ListObjects, taken, answer)
 	case *historypb.Request_WatchObjects:
-		s.watch(call.WatchObjects, answer)
+		s.watch(call.WatchObjects, taken, answer)
 	default:
 		answer(refusal(historypb.Status_STATUS_UNAVAILABLE))
 	}
 }
 
-func (s *Server) list(call *historypb.ListObjects, answer func(*historypb.Reply)) {
+func (s *Server) list(call *historypb.ListObjects, taken time.Time, answer func(*historypb.Reply)) {
 	v := s.views[call.Kind]
 	if v == nil {
 		answer(refusal(historypb.Status_STATUS_UNAVAILABLE))
 		return
 	}
-	ask := v.ofAnyAge
-	if !call.AnyAge {
-		ask = func(last bool) (*historypb.Reply, <-chan struct{}) { return v.list(call.Revision, last) }
-	}
-	v.answer(ask, openWait, answer)
+	v.answer(func(last bool) (*historypb.Reply, <-chan struct{}) {
+		if call.AnyAge {
+			return v.ofAnyAge(taken, last)
+		}
+		return v.list(call.Revision, taken, last)
+	}, openWait, answer)
 }
 
 const (
@@ -66,12 +68,14 @@
 	maxWait = 30 * time.Second
 )
 
-func (s *Server) watch(call *historypb.WatchObjects, answer func(*historypb.Reply)) {
+func (s *Server) watch(call *historypb.WatchObjects, taken time.Time, answer func(*historypb.Reply)) {
 	v := s.views[call.Kind]
 	if v == nil {
 		answer(refusal(historypb.Status_STATUS_UNAVAILABLE))
 		return
 	}
 	wait := min(time.Duration(call.WaitMs)*time.Millisecond, maxWait)
-	v.answer(func(last bool) (*historypb.Reply, <-chan struct{}) { return v.changes(call.Revision, last) }, wait, answer)
+	v.answer(func(last bool) (*historypb.Reply, <-chan struct{}) {
+		return v.changes(call.Revision, taken, last)
+	}, wait, answer)
 }
--- a/daemon/relay/view.go
+++ b/daemon/relay/view.go
@@ -56,7 +56,9 @@
 	lost     time.Time
 	items    map[string]objects.Object
 	revision uint64
-	batches  []batch
+	// asOf is when the state here was surely the newest; see objects.Snapshot.
+	asOf    time.Time
+	batches []batch
 	// oldest is the revision after which all changes are in batches.
 	oldest uint64
 	// changed is closed when there are changes, or none can be told any more.
@@ -109,7 +111,7 @@
 }
 
 // list returns all objects, unless the view is older than a revision.
-func (v *view) list(atLeast uint64, last bool) (*historypb.Reply, <-chan struct{}) {
+func (v *view) list(atLeast uint64, taken time.Time, last bool) (*historypb.Reply, <-chan struct{}) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.ask()
@@ -119,23 +121,24 @@
 	if v.revision < atLeast {
 		return refusal(historypb.Status_STATUS_UNAVAILABLE), nil
 	}
-	return v.all(), nil
+	return v.all(taken), nil
 }
 
 // ofAnyAge returns all objects as they were last known, however long ago that was.
-func (v *view) ofAnyAge(last bool) (*historypb.Reply, <-chan struct{}) {
+func (v *view) ofAnyAge(taken time.Time, last bool) (*historypb.Reply, <-chan struct{}) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.ask()
 	if v.items == nil {
 		return v.unsound(last)
 	}
-	return v.all(), nil
+	return v.all(taken), nil
 }
 
-// all is the reply with all objects; the caller holds mu.
-func (v *view) all() *historypb.Reply {
+// all is the reply with all objects to a request taken at taken; the caller holds mu.
+func (v *view) all(taken time.Time) *historypb.Reply {
 	reply := &historypb.Reply{Status: historypb.Status_STATUS_OK, Revision: v.revision}
+	date(reply, v.asOf, taken)
 	for _, o := range v.items {
 		reply.Objects = append(reply.Objects, encode(objects.Event{Object: o}))
 	}
@@ -143,7 +146,7 @@
 }
 
 // changes returns the changes after a revision, if there are any or the look is the last.
-func (v *view) changes(after uint64, last bool) (*historypb.Reply, <-chan struct{}) {
+func (v *view) changes(after uint64, taken time.Time, last bool) (*historypb.Reply, <-chan struct{}) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.ask()
@@ -163,6 +166,7 @@
 		}
 	}
 	if last || len(reply.Objects) > 0 {
+		date(reply, v.asOf, taken)
 		return reply, nil
 	}
 	return nil, v.changed
@@ -224,7 +228,7 @@
 	for _, o := range s.Items {
 		v.items[o.Name] = o
 	}
-	v.revision, v.oldest, v.batches = s.Revision, s.Revision, nil
+	v.revision, v.oldest, v.batches, v.asOf = s.Revision, s.Revision, nil, s.AsOf
 	v.wake()
 	v.rest()
 }
@@ -235,6 +239,7 @@
 	defer v.mu.Unlock()
 	v.confirm()
 	v.revision = max(v.revision, c.Revision)
+	v.asOf = later(v.asOf, c.AsOf)
 	if len(c.Events) > 0 {
 		v.keep(batch{upTo: c.Revision, events: c.Events})
 		v.wake()
@@ -286,5 +291,13 @@
 	}
 	v.logger.Info("relay rests", "kind", v.kind)
 	v.stop()
-	v.stop, v.confirmed, v.items, v.batches = nil, time.Time{}, nil, nil
+	v.stop, v.confirmed, v.asOf, v.items, v.batches = nil, time.Time{}, time.Time{}, nil, nil
+}
+
+// later returns the later of two instants.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
--- a/daemon/settings/reload.go
+++ b/daemon/settings/reload.go
@@ -35,6 +35,7 @@
 	keep(&out, "faults.hosts", r.FaultHosts, next.FaultHosts)
 	keep(&out, "timing.grace_s", r.Grace, next.Grace)
 	keep(&out, "timing.contact_ms", r.Contact, next.Contact)
+	keep(&out, "keys.removal_ms", r.KeyRemoval, next.KeyRemoval)
 	return out
 }
 
--- a/daemon/settings/role.go
+++ b/daemon/settings/role.go
@@ -33,6 +33,9 @@
 	// Contact is how long the platform must have answered without trouble before
 	// its changes must be in force within their bounds.
 	Contact time.Duration
+	// KeyRemoval is the time after which no host serves by a key that was taken away,
+	// whatever it hears; 0 if only hosts in touch with the platform must know.
+	KeyRemoval time.Duration
 	// LogLevel is the least level of log lines that are written.
 	LogLevel string
 }
@@ -52,6 +55,66 @@
 	return max(watchLeast, r.Contact-watchMargin)
 }
 
+// keyRemoval reads the bound on removed keys, which holds where it is strict.
+func (r *reader) keyRemoval() time.Duration {
+	const section, key = "keys", "removal_ms"
+	if r.oneOf(section, "removal_strict", "false", "true") != "true" {
+		r.text(section, key, "") // known, but of no use
+		return 0
+	}
+	bound := r.milliseconds(section, key, 1, 0)
+	if bound == 0 {
+		r.fault(section, key, "must be given where removal_strict is true")
+	}
+	return bound
+}
+
+const (
+	// keyAgeShare is the part of the time for the removal of a key after which a host that
+	// has not heard since serves by no key any more. The rest is for watches of the platform
+	// that hear nothing for a second before they are cut.
+	keyAgeShare = 0.8
+	// relayedShare and followedShare are the waits of the relays' and of the other hosts'
+	// watches of the configuration, as parts of that time: a host's word is then at most
+	// 2 * 0.12 + 0.12 + 0.2 of it old, 2.8 s of 5, while nothing fails.
+	relayedShare, followedShare = 0.12, 0.2
+	// sureWatches is how many watches old a host's word of the configuration may be for a
+	// key to be surely unknown, where removal is not strict: one for each step.
+	sureWatches = 3
+)
+
+func share(part float64, of time.Duration) time.Duration { return time.Duration(part * float64(of)) }
+
+// KeyMaxAge is how old a host's word of the configuration may be to serve by keys; 0 where
+// there is no bound.
+func (r *Role) KeyMaxAge() time.Duration { return share(keyAgeShare, r.KeyRemoval) }
+
+// KeySureAge is how old a host's word of the configuration may be to call a key unknown.
+func (r *Role) KeySureAge() time.Duration {
+	if r.KeyRemoval > 0 {
+		return 2 * share(relayedShare+followedShare, r.KeyRemoval)
+	}
+	return sureWatches * r.WatchFor()
+}
+
+// RelayedConfigWatch is how long one watch of a relay for the configuration may wait.
+func (r *Role) RelayedConfigWatch() time.Duration {
+	return r.configWatch(relayedShare)
+}
+
+// ConfigWatch is how long one watch of any other host for the configuration may wait.
+func (r *Role) ConfigWatch() time.Duration {
+	return r.configWatch(followedShare)
+}
+
+// configWatch keeps watches short enough that what they tell in vain comes in time.
+func (r *Role) configWatch(part float64) time.Duration {
+	if r.KeyRemoval == 0 {
+		return r.WatchFor()
+	}
+	return min(r.WatchFor(), max(watchLeast, share(part, r.KeyRemoval)))
+}
+
 // HistoryListen is the address that history hosts listen on.
 func (r *Role) HistoryListen() string {
 	return net.JoinHostPort(r.Address, strconv.Itoa(r.HistoryPort))
@@ -99,6 +162,7 @@
 		FaultHosts:      int(r.integer("faults", "hosts", 1, 0, 16)),
 		Grace:           r.milliseconds("timing", "grace_s", 1000, 8000),
 		Contact:         r.milliseconds("timing", "contact_ms", 1, 3000),
+		KeyRemoval:      r.keyRemoval(),
 	}
 	r.required("host", "name", s.Host)
 	r.required("host", "data_centre", s.DataCentre)
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -2,6 +2,7 @@
 package settings
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/url"
@@ -258,7 +259,7 @@
 }
 
 func (r *reader) oneOf(section, key, first string, others ...string) string {
-	v := r.text(section, key, first)
+	v := cmp.Or(r.text(section, key, ""), first)
 	if v != first && !slices.Contains(others, v) {
 		r.fault(section, key, "must be %s or %s, not %q", first, strings.Join(others, ", "), v)
 	}
--- a/wire/objects/objects.go
+++ b/wire/objects/objects.go
@@ -28,6 +28,9 @@
 type Snapshot struct {
 	Items    []Object
 	Revision uint64
+	// AsOf is an instant, by the monotonic clock of this process, at which the platform
+	// surely held nothing newer; zero if none is known.
+	AsOf time.Time
 }
 
 // Changes is what a watch returned.
@@ -35,6 +38,8 @@
 	Events []Event
 	// Revision is where to watch from next.
 	Revision uint64
+	// AsOf is as in Snapshot, with all changes up to these applied.
+	AsOf time.Time
 }
 
 // Reader reads kinds of objects of the platform's store.
--- a/wire/ownheaders/ownheaders.go
+++ b/wire/ownheaders/ownheaders.go
@@ -26,6 +26,8 @@
 	NotRun     = "Pistachio-Not-Run"
 	Signature  = "Pistachio-Signature"
 	RetryAfter = "Retry-After"
+	Key        = "Pistachio-Key"
+	Customer   = "Pistachio-Customer"
 )
 
 // Headers translates between the names and the terms of core/request.
@@ -33,7 +35,7 @@
 
 // Call decodes a caller's request. The failure is of kind BadRequest.
 func (Headers) Call(h http.Header) (request.Call, error) {
-	c := request.Call{ID: h.Get(ID), Program: h.Get(Program), Previous: h.Get(Previous), LastEvent: h.Get(LastEvent)}
+	c := request.Call{ID: h.Get(ID), Program: h.Get(Program), Previous: h.Get(Previous), LastEvent: h.Get(LastEvent), Key: h.Get(Key)}
 	if c.ID == "" {
 		return c, failure.New(failure.BadRequest, "no %s", ID)
 	}
@@ -61,6 +63,13 @@
 	if s.LastEvent != "" {
 		out.Set(LastEvent, s.LastEvent)
 	}
+	if s.HideKey {
+		out.Del(Key)
+	}
+	out.Del(Customer)
+	if s.Customer != "" {
+		out.Set(Customer, s.Customer)
+	}
 	return out
 }
 
--- a/wire/targetpool/pool.go
+++ b/wire/targetpool/pool.go
@@ -126,6 +126,16 @@
 	}
 }
 
+// Forget closes the idle connections to an address at which another target listens now.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[address] {
+		_ = c.Close()
+	}
+	delete(p.idle, address)
+}
+
 // Close closes the idle connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
