Quotas over all hosts in fixed parts at the keepers of a customer's slot; proofs of removal and of quotas on the roles

A quota is split into equal parts, one for each replica of the customer's slot; a member grants from a token bucket of its part, an entry host asks the nearest first and refuses only when all have refused. Ruled out: one owner for each customer, which needs a lease to be safe while two hosts disagree on who it is.

--- /dev/null
+++ b/core/quota/bucket.go
@@ -0,0 +1,91 @@
+package quota
+
+import "time"
+
+// Limit is a customer's quota over all hosts.
+type Limit struct {
+	// Rate is in requests a second.
+	Rate float64
+	// Burst is how many requests may come at once.
+	Burst float64
+}
+
+// Tolerance is by how much a quota may be exceeded: in any span of Window, the requests of a
+// customer may be (rate * Window + burst) * (1 + Overage) + Slack.
+type Tolerance struct {
+	Window  time.Duration
+	Overage float64
+	Slack   float64
+}
+
+// toleranceUsed is the part of the tolerance by which members may hold more tokens. Small
+// quotas split into parts of about one token would refuse requests below them: at 0.6 of a
+// quota of five a second in five parts 377 of 3,500 requests, none with this. The rest is for requests
+// that run twice.
+const toleranceUsed = 0.5
+
+// Widen adds a part of what is tolerated to the burst.
+func (l Limit) Widen(t Tolerance) Limit {
+	l.Burst += toleranceUsed * (t.Overage*(l.Rate*t.Window.Seconds()+l.Burst) + t.Slack)
+	return l
+}
+
+// part is the share of one of n members. A part that holds less than one token could never
+// grant any.
+func (l Limit) part(n int) Limit {
+	k := float64(max(1, n))
+	return Limit{Rate: l.Rate / k, Burst: max(1, l.Burst/k)}
+}
+
+// bucket is one member's part of a customer's quota.
+type bucket struct {
+	// limit is that of the newest configuration that an asker knew, and version its.
+	limit   Limit
+	version uint64
+	parts   int
+	// tokens are those held at at.
+	tokens float64
+	at     time.Duration
+	// promised is up to when tokens that will come are spoken of to callers.
+	promised time.Duration
+	// granted and refused count requests, for operators.
+	granted, refused int64
+}
+
+// fill adds the tokens that have come since.
+func (b *bucket) fill(now time.Duration) {
+	part := b.limit.part(b.parts)
+	if now > b.at {
+		b.tokens += part.Rate * (now - b.at).Seconds()
+		b.at = now
+	}
+	b.tokens = min(b.tokens, part.Burst)
+}
+
+// follow takes the limit of a newer configuration, and the number of parts. Tokens that came
+// by the old ones stay, as far as the new ones allow.
+func (b *bucket) follow(version uint64, limit Limit, parts int) {
+	if version > b.version {
+		b.limit, b.version = limit, version
+	}
+	b.parts = parts
+	b.tokens = min(b.tokens, b.limit.part(b.parts).Burst)
+}
+
+// mostPromise bounds how far ahead callers are told of a token: most wait no longer.
+const mostPromise = 2 * time.Second
+
+// promise returns when a token will be there for one more caller. Callers that come back
+// are told different times, so that each finds a token, and not all the same one.
+func (b *bucket) promise(now time.Duration) time.Duration {
+	rate := b.limit.part(b.parts).Rate
+	if rate <= 0 {
+		return mostPromise
+	}
+	next := now + seconds((1-b.tokens)/rate)
+	at := min(max(next, b.promised), now+mostPromise)
+	b.promised = min(at+seconds(1/rate), now+mostPromise)
+	return at - now
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/core/quota/order.go
@@ -0,0 +1,48 @@
+package quota
+
+import (
+	"maps"
+	"time"
+)
+
+// Order says which members an entry host asks for a customer's tokens. Not safe for
+// concurrent use.
+type Order struct {
+	// empty is until when each member has no token of a customer.
+	empty map[place]time.Duration
+}
+
+type place struct{ customer, member string }
+
+// NewOrder returns an order of a host that has asked nobody.
+func NewOrder() *Order { return &Order{empty: map[place]time.Duration{}} }
+
+// mostEmpty bounds the members known to be empty; beyond it those whose time is over go.
+const mostEmpty = 4096
+
+// Refused notes that a member will have a token of the customer no sooner than in.
+func (o *Order) Refused(customer, member string, in, now time.Duration) {
+	if len(o.empty) >= mostEmpty {
+		maps.DeleteFunc(o.empty, func(_ place, until time.Duration) bool { return until <= now })
+	}
+	o.empty[place{customer, member}] = now + in
+}
+
+// Ask returns the members to ask, in order: those that are not known to be empty, as
+// they are given. Where all are empty it returns none, and when the first will not be.
+func (o *Order) Ask(customer string, members []string, now time.Duration) (ask []string, in time.Duration) {
+	in = -1
+	for _, m := range members {
+		key := place{customer, m}
+		left := o.empty[key] - now
+		if left <= 0 {
+			delete(o.empty, key)
+			ask = append(ask, m)
+			continue
+		}
+		if in < 0 || left < in {
+			in = left
+		}
+	}
+	return ask, max(0, in)
+}
--- a/ctl/roles/always_test.go
+++ b/ctl/roles/always_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pistachioarch/pistachioarch/ctl/standin"
+	"github.com/pistachioarch/pistachioarch/daemon/history"
 )
 
 const (
@@ -49,6 +50,8 @@
 	// relayOutcomes are those of relayCases.
 	relayOutcomes = map[string]*relayOutcome{}
 	afterCut      *cutOutcome
+	// removals and quotaCases are those of customerFaults.
+	removals, quotaCases = map[string]*customerOutcome{}, map[string]*customerOutcome{}
 	// idleAtStart are the history hosts of a large cluster that got no slots.
 	idleAtStart []string
 	// inOutage is the answer to a turn at an entry host that started without the platform.
@@ -62,6 +65,8 @@
 func all(t *testing.T) {
 	once.Do(func() {
 		synctest.Test(t, func(t *testing.T) {
+			// What waits at a relay ends by itself.
+			defer time.Sleep(history.MapWatch)
 			for _, fc := range faultCases {
 				if onlyCase == "" || onlyCase == fc.name {
 					outcomes[fc.name] = carryOut(t, fc)
@@ -72,6 +77,12 @@
 					relayOutcomes[rc.name] = carryOutRelay(t, rc.inject)
 				}
 			}
+			for _, f := range customerFaults {
+				if onlyCase == "" || onlyCase == f.name {
+					removals[f.name] = carryOutRemoval(t, f)
+					quotaCases[f.name] = carryOutQuota(t, f)
+				}
+			}
 			if onlyCase == "" {
 				idleAtStart = idleMembers(t)
 				inOutage = turnInOutage(t)
@@ -79,7 +90,7 @@
 			}
 		})
 	})
-	require.NotZero(t, len(outcomes)+len(relayOutcomes))
+	require.NotZero(t, len(outcomes)+len(relayOutcomes)+len(removals))
 }
 
 func carryOut(t *testing.T, fc faultCase) *outcome {
--- a/ctl/roles/callers_test.go
+++ b/ctl/roles/callers_test.go
@@ -31,10 +31,12 @@
 // try is one attempt of a caller and what it got.
 type try struct {
 	ID, Program, Path, Body string
-	Entry                   string
-	Sent, Ended             time.Time
-	Status                  int
-	Answer                  string
+	// Customer is whose key it shows.
+	Customer    string
+	Entry       string
+	Sent, Ended time.Time
+	Status      int
+	Answer      string
 	// Whole is set if the answer came to its proper end.
 	Whole bool
 	// Cut is set if the connection broke after the request was sent.
@@ -68,7 +70,7 @@
 // send makes one attempt at an entry host.
 func (k *caller) send(program, path, body string, at int, headers map[string]string) try {
 	e := k.c.entryAt(at)
-	t := try{ID: k.id(), Program: program, Path: path, Body: body, Entry: e.name, Sent: time.Now()}
+	t := try{Customer: strings.TrimSuffix(headers[ownheaders.Key], "-key"), ID: k.id(), Program: program, Path: path, Body: body, Entry: e.name, Sent: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), turnPatience)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.place+":80"+path, strings.NewReader(body))
--- a/ctl/roles/cluster_test.go
+++ b/ctl/roles/cluster_test.go
@@ -84,6 +84,10 @@
 	retire  *retirements
 	// crowded puts h1 into the data centre of h0.
 	crowded bool
+	// customers are those of the configuration; without any no keys are needed.
+	customers []routing.Customer
+	// keyed bounds the removal of keys on all hosts.
+	keyed bool
 	// seeds are the addresses of the history hosts at the start.
 	seeds   []string
 	version uint64
@@ -127,15 +131,30 @@
 // centre.
 func newCrowded(t *testing.T) *cluster { return startCluster(t, 3, true) }
 
+// newKeyed starts a cluster whose callers need the keys of customers.
+func newKeyed(t *testing.T, customers ...routing.Customer) *cluster {
+	c := emptyCluster(t)
+	c.customers, c.keyed = customers, true
+	return c.start(4)
+}
+
 func startCluster(t *testing.T, historyHosts int, crowded bool) *cluster {
-	c := &cluster{
-		crowded: crowded,
-		t:       t, net: vnet.New(), store: standin.NewObjects(), serving: map[string]*http.Server{},
+	c := emptyCluster(t)
+	c.crowded = crowded
+	return c.start(historyHosts)
+}
+
+func emptyCluster(t *testing.T) *cluster {
+	return &cluster{
+		t: t, net: vnet.New(), store: standin.NewObjects(), serving: map[string]*http.Server{},
 		retire: &retirements{done: map[string]bool{}},
 	}
+}
+
+func (c *cluster) start(historyHosts int) *cluster {
 	for i := range historyHosts {
 		place := fmt.Sprintf("10.2.0.%d", i)
-		c.startHistory(&historyHost{name: fmt.Sprintf("h%d", i), place: place, dir: t.TempDir()})
+		c.startHistory(&historyHost{name: fmt.Sprintf("h%d", i), place: place, dir: c.t.TempDir()})
 		c.seeds = append(c.seeds, place+":1")
 	}
 	for i := range 3 {
@@ -187,7 +206,7 @@
 	keeper := history.NewKeeper(server, store, self, 1, c.retire, vnet.Dialer{Net: c.net, From: h.place}, logger())
 	source := func() objects.Reader { return relay.NewSource(h.name, store, keeper, logger()) }
 	relays := relay.NewServer(ctx, source, logger(),
-		relay.Kind{Name: configKind, Wait: watchFor}, relay.Kind{Name: targetKind, Wait: watchFor}, relay.Kind{Name: history.Kind, Wait: history.MapWatch})
+		relay.Kind{Name: configKind, Wait: c.configWatch(600 * time.Millisecond)}, relay.Kind{Name: targetKind, Wait: watchFor}, relay.Kind{Name: history.Kind, Wait: history.MapWatch})
 	server.Relay(relays.Handle)
 	go func() {
 		defer close(h.ended)
@@ -204,6 +223,23 @@
 	c.history = append(c.history, h)
 }
 
+// configWatch is how long a watch of the configuration waits: shorter where the removal of
+// keys is bounded.
+func (c *cluster) configWatch(keyed time.Duration) time.Duration {
+	if c.keyed {
+		return keyed
+	}
+	return watchFor
+}
+
+// keyRules are those of a deployment that bounds the removal of keys to removalBound.
+func (c *cluster) keyRules() entry.KeyRules {
+	if !c.keyed {
+		return entry.KeyRules{}
+	}
+	return entry.KeyRules{MaxAge: removalBound * 4 / 5, SureAge: removalBound * 3 / 5}
+}
+
 // killHistory ends a history host's process; its disk stays.
 func (c *cluster) killHistory(i int) *historyHost {
 	h := c.history[i]
@@ -250,14 +286,15 @@
 
 // configSpec is the configuration object of the tests.
 type configSpec struct {
-	Version uint64
-	Timeout time.Duration
+	Version   uint64
+	Timeout   time.Duration
+	Customers []routing.Customer
 }
 
 // configure puts the next version of the configuration in the store.
 func (c *cluster) configure(timeout time.Duration) uint64 {
 	c.version++
-	text, err := json.Marshal(configSpec{c.version, timeout})
+	text, err := json.Marshal(configSpec{c.version, timeout, c.customers})
 	require.NoError(c.t, err)
 	c.store.Put(configKind, configName, text)
 	return c.version
@@ -269,14 +306,23 @@
 		return nil, err
 	}
 	to := func(service string) []routing.Share { return []routing.Share{{Service: service, Weight: 1}} }
-	return routing.NewTable(s.Version, routing.Limits{BodyBytes: 1 << 20},
+	table := routing.NewTable(s.Version, routing.Limits{BodyBytes: 1 << 20},
 		[]*routing.Service{{Name: engineService, Engine: &routing.Engine{Places: 8, TokensPerEvent: eventTokens}}, {Name: plainService}},
 		[]*routing.Route{
 			{Name: "turn", Host: "x", Prefix: "/turn/", Kind: routing.Streaming, Services: to(engineService), Attempts: 2, Retained: true, Retention: retention, Timeout: s.Timeout},
 			{Name: "order", Host: "x", Prefix: "/order/", Kind: routing.AtMostOnce, Services: to(plainService), Attempts: 2, Timeout: s.Timeout},
 			{Name: "look", Host: "x", Prefix: "/look/", Services: to(plainService), Attempts: 2, Timeout: s.Timeout},
 			{Name: fmt.Sprintf("v%d", s.Version), Host: "x", Prefix: fmt.Sprintf("/v%d/", s.Version), Services: to(plainService), Attempts: 2},
-		}), nil
+		})
+	if len(s.Customers) == 0 {
+		return table, nil
+	}
+	var list []*routing.Customer
+	for i := range s.Customers {
+		list = append(list, &s.Customers[i])
+	}
+	customers, err := routing.NewCustomers(list)
+	return table.Require(customers), err
 }
 
 func (c *cluster) startEntry(e *entryHost) {
@@ -286,11 +332,12 @@
 	e.past.Seed(c.seeds)
 	e.host = entry.New(entry.Options{
 		Headers: ownheaders.Headers{}, History: e.past, Dialer: dialer, DataCentre: c.dataCentre(e.name), ReadyPath: "/ready", Log: logger(),
+		Keys: c.keyRules(), Quotas: tolerance,
 	})
 	e.stop = cancel
 	store := c.store.At(e.place)
 	source := func() *relay.Source { return relay.NewSource(e.name, store, e.past, logger()) }
-	go objects.Follow(ctx, source().Patient(), configKind, watchFor, entry.NewConfigView(e.host, configName, decodeTable))
+	go objects.Follow(ctx, source().Patient(), configKind, c.configWatch(time.Second), entry.NewConfigView(e.host, configName, decodeTable))
 	go objects.Follow(ctx, source().Patient(), targetKind, watchFor, entry.NewTargetView(e.host, decodeTarget))
 	go objects.Follow(ctx, source(), history.Kind, history.MapWatch, e.past)
 	go e.host.Run(ctx)
--- a/ctl/standin/objects.go
+++ b/ctl/standin/objects.go
@@ -241,11 +241,12 @@
 }
 
 func (v *objectsAt) List(ctx context.Context, kind string) (objects.Snapshot, error) {
+	asked := time.Now()
 	if err := v.enter(ctx); err != nil {
 		return objects.Snapshot{}, err
 	}
 	defer v.s.mu.Unlock()
-	snapshot := objects.Snapshot{Revision: v.s.revision}
+	snapshot := objects.Snapshot{Revision: v.s.revision, AsOf: asked}
 	for _, name := range slices.Sorted(maps.Keys(v.s.kinds[kind])) {
 		snapshot.Items = append(snapshot.Items, v.s.kinds[kind][name])
 	}
@@ -253,6 +254,7 @@
 }
 
 func (v *objectsAt) Watch(ctx context.Context, kind string, revision uint64, wait time.Duration) (objects.Changes, error) {
+	asked := time.Now()
 	end := time.NewTimer(wait)
 	defer end.Stop()
 	for look := v.enter; ; look = v.arrive {
@@ -263,7 +265,7 @@
 			v.s.mu.Unlock()
 			return objects.Changes{}, failure.New(failure.HistoryGone, "revision %d", revision)
 		}
-		found := objects.Changes{Revision: v.s.revision}
+		found := objects.Changes{Revision: v.s.revision, AsOf: asked}
 		for _, c := range v.s.history {
 			if c.kind == kind && c.at > revision {
 				found.Events = append(found.Events, c.event)
--- a/ctl/standin/turnengine.go
+++ b/ctl/standin/turnengine.go
@@ -17,6 +17,8 @@
 	Program string
 	Body    string
 	At      time.Time
+	// Customer is whose request it is, as the system says.
+	Customer string
 }
 
 // TurnEngine is a model engine or plain service behind the entry role: it checks
@@ -64,7 +66,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	lost, ok := e.begin(Run{ID: id, Program: r.Header.Get(ownheaders.Program), Body: string(body), At: time.Now()})
+	lost, ok := e.begin(Run{ID: id, Program: r.Header.Get(ownheaders.Program), Body: string(body), At: time.Now(), Customer: r.Header.Get(ownheaders.Customer)})
 	if !ok {
 		w.Header().Set(ownheaders.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/daemon/cmd/pistachiod/entry.go
+++ b/daemon/cmd/pistachiod/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/pistachioarch/pistachioarch/core/quota"
 	"github.com/pistachioarch/pistachioarch/daemon/entry"
 	"github.com/pistachioarch/pistachioarch/daemon/history"
 	"github.com/pistachioarch/pistachioarch/daemon/meter"
@@ -22,6 +23,7 @@
 		Headers: platform.Headers{}, History: past, Dialer: dialer,
 		DataCentre: set.DataCentre, MemoryBytes: set.MemoryBytes, Descriptors: set.Descriptors,
 		Keys:      entry.KeyRules{MaxAge: set.KeyMaxAge(), SureAge: set.KeySureAge()},
+		Quotas:    quota.Tolerance{Window: set.QuotaWindow, Overage: set.QuotaOverage, Slack: set.QuotaSlack},
 		ReadyPath: platform.ReadyPath, Log: logger, Meter: o.meter,
 	})
 	o.state = func() any { return host.State() }
--- a/daemon/entry/customer.go
+++ b/daemon/entry/customer.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"context"
 	"time"
 
 	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/core/quota"
 	"github.com/pistachioarch/pistachioarch/core/routing"
 )
 
@@ -64,7 +66,7 @@
 	}
 	customer, known := t.Customers().Holder(routing.DigestKey(x.call.Key))
 	if known && (x.customer == nil || x.customer.Name == customer.Name) {
-		x.customer = customer
+		x.customer, x.customerVersion = customer, t.Version
 		return nil
 	}
 	if age := x.host.configurationAge(); x.host.Keys.SureAge > 0 && age > x.host.Keys.SureAge {
@@ -97,3 +99,36 @@
 	}
 	return x.customer.Name + "\x00" + name
 }
+
+// tokenWait is how long a request waits for a token that is about to come: a caller that is
+// refused needs a new connection and a pause, some tens of milliseconds.
+const tokenWait = 40 * time.Millisecond
+
+// withinQuota takes a token of the customer's quota, which counts over all hosts.
+func (x *exchange) withinQuota(ctx context.Context) error {
+	if x.customer == nil || !x.customer.Quota.Limited() {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, historyPatience)
+	defer cancel()
+	grant, err := x.takeToken(ctx)
+	if err == nil && !grant.Granted && grant.In <= tokenWait && sleep(ctx, grant.In) {
+		grant, err = x.takeToken(ctx)
+	}
+	switch {
+	case err != nil:
+		return failure.Retry(failure.HistoryUnavailable, x.host.comeBack(), "quota of %s: %v", x.customer.Name, err)
+	case !grant.Granted:
+		x.host.Meter.Count("turned_away", "quota")
+		return failure.Retry(failure.QuotaExceeded, grant.In, "customer %s, %g requests a second and %g at once, version %d",
+			x.customer.Name, x.customer.Quota.Rate, x.customer.Quota.Burst, x.customerVersion)
+	}
+	return nil
+}
+
+func (x *exchange) takeToken(ctx context.Context) (quota.Grant, error) {
+	q := x.customer.Quota
+	return x.host.History.Take(ctx, quota.Ask{
+		Customer: x.customer.Name, Limit: quota.Limit{Rate: q.Rate, Burst: q.Burst}.Widen(x.host.Quotas), Version: x.customerVersion,
+	})
+}
--- a/daemon/entry/customer_test.go
+++ b/daemon/entry/customer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -154,3 +155,66 @@
 	x.customer.HasPriority = true
 	require.Equal(t, 1, x.priority())
 }
+
+// limited has a quota of so many requests at once, and next to none later.
+func limited(name string, burst float64) *routing.Customer {
+	c := customer(name)
+	c.Quota = routing.Quota{Rate: 0.001, Burst: burst}
+	return c
+}
+
+func TestRequestsBeyondTheQuotaAreRefused(t *testing.T) {
+	x := newTarget(t, "t1", answering)
+	s := newSystem(t, x)
+	s.keyed(limited("a", 6), customer("b"))
+	s.aged.Store(true)
+	statuses := map[int]int{}
+	for i := range 10 {
+		got := s.post("/plain/", "", ownheaders.ID, strconv.Itoa(i), ownheaders.Key, "a-key")
+		statuses[got.status]++
+		if got.status == http.StatusTooManyRequests {
+			require.NotEmpty(t, got.header.Get("Retry-After"))
+		}
+	}
+	require.Equal(t, map[int]int{http.StatusOK: 6, http.StatusTooManyRequests: 4}, statuses)
+	require.Equal(t, http.StatusOK, s.post("/plain/", "", ownheaders.ID, "of b", ownheaders.Key, "b-key").status, "others are not held back")
+	require.Len(t, x.requests(), 7)
+}
+
+// With a member silent, its part of the quota is lost and no more.
+func TestPartsOfTheOthersServeWhereAMemberIsSilent(t *testing.T) {
+	x := newTarget(t, "t1", answering)
+	s := newSystem(t, x)
+	s.keyed(limited("a", 6))
+	s.aged.Store(true)
+	s.members[1].silent.Store(true)
+	served := 0
+	for i := range 6 {
+		if s.post("/plain/", "", ownheaders.ID, strconv.Itoa(i), ownheaders.Key, "a-key").status == http.StatusOK {
+			served++
+		}
+	}
+	require.Equal(t, 4, served)
+}
+
+func TestWithoutHistoryHostsAQuotaCannotBeTold(t *testing.T) {
+	x := newTarget(t, "t1", answering)
+	s := newSystem(t, x)
+	s.keyed(limited("a", 6), customer("b"))
+	s.aged.Store(true)
+	for _, m := range s.members {
+		m.silent.Store(true)
+	}
+	require.Equal(t, http.StatusServiceUnavailable, s.post("/plain/", "", ownheaders.ID, "1", ownheaders.Key, "a-key").status)
+	require.Equal(t, http.StatusOK, s.post("/plain/", "", ownheaders.ID, "2", ownheaders.Key, "b-key").status)
+}
+
+// History hosts that have just started do not know what they granted before: they begin
+// without tokens.
+func TestHistoryHostsBeginWithoutTokens(t *testing.T) {
+	x := newTarget(t, "t1", answering)
+	s := newSystem(t, x)
+	s.keyed(limited("a", 6))
+	require.Equal(t, http.StatusTooManyRequests, s.post("/plain/", "", ownheaders.ID, "1", ownheaders.Key, "a-key").status)
+	require.Empty(t, x.requests())
+}
--- a/daemon/entry/handle.go
+++ b/daemon/entry/handle.go
@@ -23,8 +23,10 @@
 	route *routing.Route
 	// customer is whose key the caller showed, nil where none is needed.
 	customer *routing.Customer
-	engine   *routing.Engine // nil for plain services
-	began    time.Time
+	// customerVersion is of the configuration that customer is from.
+	customerVersion uint64
+	engine          *routing.Engine // nil for plain services
+	began           time.Time
 	// deadline is the earlier of the caller's and the route's.
 	deadline time.Time
 	body     []byte
@@ -93,6 +95,9 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(x.r.Context(), x.deadline, context.DeadlineExceeded)
 	defer cancel()
+	if err := x.withinQuota(ctx); err != nil {
+		return err
+	}
 	if x.isTurn() {
 		return x.serveTurn(ctx)
 	}
--- a/daemon/entry/harness_test.go
+++ b/daemon/entry/harness_test.go
@@ -138,6 +138,15 @@
 	server  *httptest.Server
 	past    *quorum.Client
 	members []*member
+	// aged makes the history hosts a day old, so that they hold all tokens of quotas.
+	aged atomic.Bool
+}
+
+func (s *system) elapsed() time.Duration {
+	if s.aged.Load() {
+		return 24 * time.Hour
+	}
+	return 0
 }
 
 type member struct {
@@ -185,7 +194,7 @@
 func (s *system) startHistory(n int) {
 	m := placement.New(1)
 	for i := range n {
-		server, err := history.OpenServer(history.Options{Dir: s.t.TempDir(), Log: quietLog()})
+		server, err := history.OpenServer(history.Options{Dir: s.t.TempDir(), Log: quietLog(), Elapsed: s.elapsed})
 		require.NoError(s.t, err)
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(s.t, err)
--- a/daemon/entry/host.go
+++ b/daemon/entry/host.go
@@ -14,6 +14,7 @@
 	"github.com/pistachioarch/pistachioarch/core/balance"
 	"github.com/pistachioarch/pistachioarch/core/dispatch"
 	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/core/quota"
 	"github.com/pistachioarch/pistachioarch/core/request"
 	"github.com/pistachioarch/pistachioarch/core/routing"
 	"github.com/pistachioarch/pistachioarch/daemon/meter"
@@ -47,6 +48,8 @@
 	Descriptors int
 	// Keys is how current the configuration must be for requests with a key.
 	Keys KeyRules
+	// Quotas is by how much the quotas of customers may be exceeded.
+	Quotas quota.Tolerance
 	// ReadyPath is where the platform asks whether the host takes requests.
 	ReadyPath string
 	Log       *log.Logger
--- a/daemon/history/server.go
+++ b/daemon/history/server.go
@@ -12,6 +12,7 @@
 	"github.com/pistachioarch/pistachioarch/core/historypb"
 	"github.com/pistachioarch/pistachioarch/core/ledger"
 	"github.com/pistachioarch/pistachioarch/core/placement"
+	"github.com/pistachioarch/pistachioarch/core/quota"
 	"github.com/pistachioarch/pistachioarch/daemon/meter"
 	"github.com/pistachioarch/pistachioarch/daemon/wal"
 	"github.com/pistachioarch/pistachioarch/wire/rpc"
@@ -40,10 +41,16 @@
 	// never holds an older one than what was fenced.
 	adopting sync.Mutex
 
-	mu       sync.Mutex
-	ledger   *ledger.Ledger
-	slots    *placement.Map
-	mapBytes []byte
+	// elapsed is the steady time since the process started.
+	elapsed func() time.Duration
+
+	mu     sync.Mutex
+	ledger *ledger.Ledger
+	quotas *quota.Buckets
+	// heldSince is since when the member keeps each slot, as elapsed.
+	heldSince [placement.Slots]time.Duration
+	slots     *placement.Map
+	mapBytes  []byte
 	// refresh is called when a sender knows a newer map.
 	refresh func()
 	// refreshing is true while refresh runs.
@@ -64,6 +71,8 @@
 	// Create and Now are wal.CreateFile and time.Now unless tests say otherwise.
 	Create wal.Create
 	Now    func() time.Time
+	// Elapsed is the steady time since the process started, unless tests say otherwise.
+	Elapsed func() time.Duration
 }
 
 // OpenServer replays the journal.
@@ -74,8 +83,12 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.Elapsed == nil {
+		start := time.Now()
+		o.Elapsed = func() time.Duration { return time.Since(start) }
+	}
 	dir, logger := o.Dir, o.Log
-	s := &Server{dir: dir, logger: logger, meter: o.Meter, now: o.Now, ledger: ledger.New(), refresh: func() {}, relay: noRelay}
+	s := &Server{elapsed: o.Elapsed, quotas: quota.NewBuckets(), dir: dir, logger: logger, meter: o.Meter, now: o.Now, ledger: ledger.New(), refresh: func() {}, relay: noRelay}
 	records := 0
 	var damage []wal.Damage
 	var err error
@@ -160,6 +173,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.slots == nil || m.Epoch > s.slots.Epoch {
+		s.noteSlots(s.slots, m)
 		s.slots, s.mapBytes = m, text
 	}
 }
@@ -176,6 +190,8 @@
 		s.write(req.Slot, call.Write, answer)
 	case *historypb.Request_Read:
 		answer(s.read(call.Read))
+	case *historypb.Request_Take:
+		answer(s.take(req.Slot, call.Take))
 	case *historypb.Request_Copy:
 		s.copy(req.Slot, call.Copy, answer)
 	case *historypb.Request_ListObjects, *historypb.Request_WatchObjects:
@@ -327,6 +343,7 @@
 func (s *Server) sweep(nowMs int64) {
 	s.mu.Lock()
 	dropped := s.ledger.Expire(nowMs)
+	s.quotas.Drop(s.elapsed())
 	s.mu.Unlock()
 	if dropped > 0 {
 		s.logger.Info("programs past their retention dropped", "programs", dropped)
--- a/daemon/history/state.go
+++ b/daemon/history/state.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"github.com/pistachioarch/pistachioarch/core/placement"
+	"github.com/pistachioarch/pistachioarch/core/quota"
 )
 
 // gauges serves what the member holds.
@@ -55,6 +56,8 @@
 	PlatformRevision uint64        `json:"platform_revision"`
 	Retiring         []string      `json:"retiring"`
 	Members          []MemberState `json:"members"`
+	// Quotas are this member's parts of customers' quotas.
+	Quotas []quota.State `json:"quotas"`
 }
 
 // MemberState is a member as this one sees it.
@@ -64,11 +67,17 @@
 	SilentMs int64 `json:"silent_ms"`
 }
 
+func (s *Server) quotaState() []quota.State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.quotas.State(s.elapsed())
+}
+
 // State returns a dump of the member.
 func (k *Keeper) State() State {
 	h := k.server.held()
 	s := State{
-		Member: k.self.ID, Epoch: h.epoch, SlotsActive: h.active, SlotsJoining: h.joining, Programs: h.programs, TurnsBytes: h.bytes,
+		Quotas: k.server.quotaState(), Member: k.self.ID, Epoch: h.epoch, SlotsActive: h.active, SlotsJoining: h.joining, Programs: h.programs, TurnsBytes: h.bytes,
 		Retiring: k.retirements.Retiring(),
 	}
 	k.mu.Lock()
--- a/daemon/quorum/quorum.go
+++ b/daemon/quorum/quorum.go
@@ -15,6 +15,7 @@
 	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/core/historypb"
 	"github.com/pistachioarch/pistachioarch/core/placement"
+	"github.com/pistachioarch/pistachioarch/core/quota"
 	"github.com/pistachioarch/pistachioarch/daemon/meter"
 	"github.com/pistachioarch/pistachioarch/wire/objects"
 	"github.com/pistachioarch/pistachioarch/wire/rpc"
@@ -28,10 +29,15 @@
 	meter      *meter.Meter
 	// seeds are addresses of history hosts from the settings.
 	seeds []string
+	start time.Time
 
 	mu     sync.Mutex
 	slots  *placement.Map
 	health map[string]*health // by member
+	// order says whom to ask for tokens of quotas.
+	order *quota.Order
+	// turn rotates the members of other data centres that are asked for tokens.
+	turn int
 	// isolated is since when most slots cannot be served.
 	isolated time.Time
 }
@@ -39,7 +45,7 @@
 // New returns a client without a slot map. Replicas of dataCentre are read first; m
 // may be nil.
 func New(dialer rpc.Dialer, dataCentre string, logger *log.Logger, m *meter.Meter) *Client {
-	c := &Client{pool: rpc.NewPool(dialer), dataCentre: dataCentre, logger: logger, meter: m, health: map[string]*health{}}
+	c := &Client{pool: rpc.NewPool(dialer), dataCentre: dataCentre, logger: logger, meter: m, health: map[string]*health{}, order: quota.NewOrder(), start: time.Now()}
 	m.Gauge("slot_map_epoch", func() int64 { return int64(c.epoch()) })
 	m.Gauge("history_isolated_ms", func() int64 { return c.Isolated().Milliseconds() })
 	return c
@@ -134,26 +140,30 @@
 func (c *Client) scatter(m *placement.Map, slot uint32, members []string, build func(member string) *historypb.Request) <-chan replyFrom {
 	answers := make(chan replyFrom, len(members))
 	for _, id := range members {
-		req := build(id)
-		req.Member, req.Slot, req.Epoch = id, slot, m.Epoch
-		client := c.pool.Client(m.Members[id].Address)
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-			defer cancel()
-			reply, err := client.Call(ctx, req)
-			c.note(id, err)
-			if err == nil && reply.Status != historypb.Status_STATUS_OK {
-				if reply.Status == historypb.Status_STATUS_STALE_EPOCH {
-					c.adopt(reply.SlotMap, "member "+id)
-				}
-				err = failure.New(failure.PeerUnavailable, "member %s: %s", id, reply.Status)
-			}
-			answers <- replyFrom{id, reply, err}
-		}()
+		c.send(m, slot, id, build(id), answers)
 	}
 	return answers
 }
 
+// send sends a request to one member; its answer goes to answers, which must have room.
+func (c *Client) send(m *placement.Map, slot uint32, id string, req *historypb.Request, answers chan<- replyFrom) {
+	req.Member, req.Slot, req.Epoch = id, slot, m.Epoch
+	client := c.pool.Client(m.Members[id].Address)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		reply, err := client.Call(ctx, req)
+		c.note(id, err)
+		if err == nil && reply.Status != historypb.Status_STATUS_OK {
+			if reply.Status == historypb.Status_STATUS_STALE_EPOCH {
+				c.adopt(reply.SlotMap, "member "+id)
+			}
+			err = failure.New(failure.PeerUnavailable, "member %s: %s", id, reply.Status)
+		}
+		answers <- replyFrom{id, reply, err}
+	}()
+}
+
 // next waits for an answer; the end of the context counts as a failed one.
 func next(ctx context.Context, answers <-chan replyFrom) replyFrom {
 	select {
--- a/daemon/settings/reload.go
+++ b/daemon/settings/reload.go
@@ -36,6 +36,9 @@
 	keep(&out, "timing.grace_s", r.Grace, next.Grace)
 	keep(&out, "timing.contact_ms", r.Contact, next.Contact)
 	keep(&out, "keys.removal_ms", r.KeyRemoval, next.KeyRemoval)
+	keep(&out, "quotas.window_s", r.QuotaWindow, next.QuotaWindow)
+	keep(&out, "quotas.overage", r.QuotaOverage, next.QuotaOverage)
+	keep(&out, "quotas.slack", r.QuotaSlack, next.QuotaSlack)
 	return out
 }
 
@@ -47,7 +50,7 @@
 	out.Changed = append(out.Changed, name)
 }
 
-func keep[T string | int | time.Duration](out *Reloaded, name string, now, next T) {
+func keep[T string | int | float64 | time.Duration](out *Reloaded, name string, now, next T) {
 	if now != next {
 		out.Kept = append(out.Kept, name)
 	}
--- a/daemon/settings/role.go
+++ b/daemon/settings/role.go
@@ -36,6 +36,10 @@
 	// KeyRemoval is the time after which no host serves by a key that was taken away,
 	// whatever it hears; 0 if only hosts in touch with the platform must know.
 	KeyRemoval time.Duration
+	// QuotaWindow, QuotaOverage and QuotaSlack are by how much the quotas of customers may be
+	// exceeded; see quota.Tolerance.
+	QuotaWindow              time.Duration
+	QuotaOverage, QuotaSlack float64
 	// LogLevel is the least level of log lines that are written.
 	LogLevel string
 }
@@ -163,6 +167,9 @@
 		Grace:           r.milliseconds("timing", "grace_s", 1000, 8000),
 		Contact:         r.milliseconds("timing", "contact_ms", 1, 3000),
 		KeyRemoval:      r.keyRemoval(),
+		QuotaWindow:     r.milliseconds("quotas", "window_s", 1000, 0),
+		QuotaOverage:    r.fraction("quotas", "overage"),
+		QuotaSlack:      r.fraction("quotas", "slack"),
 	}
 	r.required("host", "name", s.Host)
 	r.required("host", "data_centre", s.DataCentre)
@@ -204,6 +211,22 @@
 	return time.Duration(n * unit * float64(time.Millisecond))
 }
 
+// fraction reads a number that is not below 0; 0 if none is given.
+func (r *reader) fraction(section, key string) float64 {
+	v := r.text(section, key, "")
+	if v == "" {
+		return 0
+	}
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil || !(n >= 0 && n <= mostFraction) {
+		r.fault(section, key, "must be a number from 0 to %g, not %q", float64(mostFraction), v)
+	}
+	return n
+}
+
+// mostFraction is above any tolerance.
+const mostFraction = 1e6
+
 // maxTimingMs is a day: longer times are slips of the pen.
 const maxTimingMs = 24 * 60 * 60 * 1000
 
--- a/daemon/settings/role_test.go
+++ b/daemon/settings/role_test.go
@@ -32,6 +32,13 @@
 [timing]
 grace_s = 8.0
 contact_ms = 4000
+[keys]
+removal_strict = true
+removal_ms = 5000
+[quotas]
+window_s = 5
+overage = 0.1
+slack = 20
 `
 
 func TestRoleIsRead(t *testing.T) {
@@ -42,6 +49,11 @@
 	require.Equal(t, 3300*time.Millisecond, r.WatchFor())
 	require.EqualValues(t, 134<<20, r.MemoryBytes)
 	require.Equal(t, 2, r.FaultHosts)
+	require.Equal(t, 4*time.Second, r.KeyMaxAge())
+	require.Equal(t, 600*time.Millisecond, r.RelayedConfigWatch())
+	require.Equal(t, time.Second, r.ConfigWatch())
+	require.Equal(t, 5*time.Second, r.QuotaWindow)
+	require.Equal(t, []float64{0.1, 20}, []float64{r.QuotaOverage, r.QuotaSlack})
 	require.Equal(t, []string{"10.0.0.7:7380", "10.0.1.7:7380"}, r.Seeds, "where history hosts listen")
 }
 
@@ -105,6 +117,8 @@
 			v.SetString("other")
 		case reflect.Slice:
 			v.Set(reflect.ValueOf([]string{"other"}))
+		case reflect.Float64:
+			v.SetFloat(7)
 		default:
 			v.SetInt(7)
 		}
@@ -112,3 +126,21 @@
 		require.Equal(t, 1, len(got.Changed)+len(got.Kept), fields.Field(i).Name)
 	}
 }
+
+// What a deployment does not say is empty in its settings.
+func TestRulesOnKeysAndQuotasMayBeAbsent(t *testing.T) {
+	absent := strings.NewReplacer("removal_strict = true", "removal_strict = ", "removal_ms = 5000", "removal_ms =",
+		"window_s = 5", "window_s =", "overage = 0.1", "overage =", "slack = 20", "slack =").Replace(roleText)
+	for _, text := range []string{absent, strings.Replace(absent, "removal_strict = ", "removal_strict = false", 1)} {
+		r, err := ParseRole([]byte(text))
+		require.NoError(t, err)
+		require.Zero(t, r.KeyMaxAge())
+		require.Equal(t, r.WatchFor(), r.ConfigWatch())
+		require.Equal(t, r.WatchFor(), r.RelayedConfigWatch())
+		require.Zero(t, r.QuotaWindow)
+	}
+	for old, bad := range map[string]string{"removal_ms = 5000": "removal_ms =", "slack = 20": "slack = -1", "overage = 0.1": "overage = NaN"} {
+		_, err := ParseRole([]byte(strings.Replace(roleText, old, bad, 1)))
+		require.Error(t, err, bad)
+	}
+}
