--- a/daemon/entry/state.go
+++ b/daemon/entry/state.go
@@ -20,6 +20,7 @@
 	})
 	h.Meter.Gauge("config_version", func() int64 { return int64(h.configVersion()) })
 	h.Meter.Gauge("config_age_s", func() int64 { return int64(h.configAge() / time.Second) })
+	h.Meter.Gauge("config_confirmed_ms", h.confirmedMs)
 	h.Meter.Gauge("ready", func() int64 {
 		if h.Ready() {
 			return 1
@@ -40,17 +41,29 @@
 	return h.now() - time.Duration(h.configuredAt.Load())
 }
 
+// confirmedMs is how long ago the configuration was surely the newest, -1 if it never was.
+func (h *Host) confirmedMs() int64 {
+	if h.confirmedAt.Load() == neverConfirmed {
+		return -1
+	}
+	return h.configurationAge().Milliseconds()
+}
+
 // State is a dump of the host for operators. It holds no content of requests.
 type State struct {
-	Ready         bool            `json:"ready"`
-	Draining      bool            `json:"draining"`
-	Active        int             `json:"requests_active"`
-	ActiveLimit   int             `json:"requests_limit"`
-	ConfigVersion uint64          `json:"config_version"`
-	ConfigAgeMs   int64           `json:"config_age_ms"`
-	Routes        []RouteState    `json:"routes"`
-	Targets       []balance.State `json:"targets"`
-	History       quorum.State    `json:"history"`
+	Ready         bool   `json:"ready"`
+	Draining      bool   `json:"draining"`
+	Active        int    `json:"requests_active"`
+	ActiveLimit   int    `json:"requests_limit"`
+	ConfigVersion uint64 `json:"config_version"`
+	ConfigAgeMs   int64  `json:"config_age_ms"`
+	// ConfirmedMs is how long ago the configuration was surely the newest; -1 if it never
+	// was. Customers is the number of customers, 0 where no keys are needed.
+	ConfirmedMs int64           `json:"config_confirmed_ms"`
+	Customers   int             `json:"customers"`
+	Routes      []RouteState    `json:"routes"`
+	Targets     []balance.State `json:"targets"`
+	History     quorum.State    `json:"history"`
 }
 
 // RouteState is one route of the configuration in force.
@@ -69,7 +82,10 @@
 func (h *Host) State() State {
 	s := State{
 		Ready: h.Ready(), Draining: h.draining.Load(), ConfigVersion: h.configVersion(), ConfigAgeMs: h.configAge().Milliseconds(),
-		Routes: routesOf(h.table.Load()), History: h.History.State(),
+		Routes: routesOf(h.table.Load()), History: h.History.State(), ConfirmedMs: h.confirmedMs(),
+	}
+	if t := h.table.Load(); t != nil && t.Keyed() {
+		s.Customers = len(t.Customers().Names())
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
