Quotas: programs under way have their tokens before new ones begin; more of the tolerance is used

Bucket: a member holds back first requests of programs when less than half of its tokens are left and those under way need what comes. Turns take their token after their budget is read, which tells whether the program has begun. Burst widened by 0.8 of the tolerance, 0.5 before.

--- a/core/quota/bucket.go
+++ b/core/quota/bucket.go
@@ -22,7 +22,7 @@
 // quotas split into parts of about one token would refuse requests below them: at 0.6 of a
 // quota of five a second in five parts 377 of 3,500 requests, none with this. The rest is for requests
 // that run twice.
-const toleranceUsed = 0.5
+const toleranceUsed = 0.8
 
 // Widen adds a part of what is tolerated to the burst.
 func (l Limit) Widen(t Tolerance) Limit {
@@ -48,6 +48,7 @@
 	at     time.Duration
 	// promised is up to when tokens that will come are spoken of to callers.
 	promised time.Duration
+	starts   starts
 	// granted and refused count requests, for operators.
 	granted, refused int64
 }
@@ -56,7 +57,9 @@
 func (b *bucket) fill(now time.Duration) {
 	part := b.limit.part(b.parts)
 	if now > b.at {
-		b.tokens += part.Rate * (now - b.at).Seconds()
+		come := part.Rate * (now - b.at).Seconds()
+		b.tokens += come
+		b.starts.fill(come)
 		b.at = now
 	}
 	b.tokens = min(b.tokens, part.Burst)
@@ -72,17 +75,41 @@
 	b.tokens = min(b.tokens, b.limit.part(b.parts).Burst)
 }
 
+// scarce is the part of its tokens below which a bucket is about to run out.
+const scarce = 0.5
+
+// allows reports whether a request may have a token: one of a program under way if there is
+// one, the first of a program only if those under way will have theirs as well. Programs of
+// a customer beyond its quota would else all be begun and nearly all fail on the way.
+func (b *bucket) allows(first bool) bool {
+	if b.tokens < 1 {
+		return false
+	}
+	return !first || b.tokens >= scarce*b.limit.part(b.parts).Burst || b.starts.allow()
+}
+
+// take takes a token.
+func (b *bucket) take(first bool) {
+	b.tokens--
+	b.starts.take(first)
+	b.granted++
+}
+
 // mostPromise bounds how far ahead callers are told of a token: most wait no longer.
 const mostPromise = 2 * time.Second
 
 // promise returns when a token will be there for one more caller. Callers that come back
 // are told different times, so that each finds a token, and not all the same one.
-func (b *bucket) promise(now time.Duration) time.Duration {
+func (b *bucket) promise(first bool, now time.Duration) time.Duration {
 	rate := b.limit.part(b.parts).Rate
 	if rate <= 0 {
 		return mostPromise
 	}
-	next := now + seconds((1-b.tokens)/rate)
+	missing := max(0, 1-b.tokens)
+	if first {
+		missing = max(missing, b.starts.missing())
+	}
+	next := now + seconds(missing/rate)
 	at := min(max(next, b.promised), now+mostPromise)
 	b.promised = min(at+seconds(1/rate), now+mostPromise)
 	return at - now
--- a/core/quota/buckets.go
+++ b/core/quota/buckets.go
@@ -20,6 +20,8 @@
 	// Limit is the customer's by the configuration Version that the asker knows.
 	Limit   Limit
 	Version uint64
+	// First reports that the request is the first of a program; see bucket.allows.
+	First bool
 	// Parts is among how many members the quota is split.
 	Parts int
 	// Since is from when on this member holds the part: as a running process, as a keeper
@@ -43,12 +45,11 @@
 	}
 	b.fill(now)
 	b.follow(a.Version, a.Limit, a.Parts)
-	if b.tokens < 1 {
+	if !b.allows(a.First) {
 		b.refused++
-		return Grant{In: b.promise(now)}
+		return Grant{In: b.promise(a.First, now)}
 	}
-	b.tokens--
-	b.granted++
+	b.take(a.First)
 	return Grant{Granted: true}
 }
 
--- a/core/quota/order.go
+++ b/core/quota/order.go
@@ -12,7 +12,11 @@
 	empty map[place]time.Duration
 }
 
-type place struct{ customer, member string }
+// place is a member's part of a customer's quota, for requests of one kind.
+type place struct {
+	customer, member string
+	first            bool
+}
 
 // NewOrder returns an order of a host that has asked nobody.
 func NewOrder() *Order { return &Order{empty: map[place]time.Duration{}} }
@@ -21,19 +25,19 @@
 const mostEmpty = 4096
 
 // Refused notes that a member will have a token of the customer no sooner than in.
-func (o *Order) Refused(customer, member string, in, now time.Duration) {
+func (o *Order) Refused(customer, member string, first bool, in, now time.Duration) {
 	if len(o.empty) >= mostEmpty {
 		maps.DeleteFunc(o.empty, func(_ place, until time.Duration) bool { return until <= now })
 	}
-	o.empty[place{customer, member}] = now + in
+	o.empty[place{customer, member, first}] = now + in
 }
 
 // Ask returns the members to ask, in order: those that are not known to be empty, as
 // they are given. Where all are empty it returns none, and when the first will not be.
-func (o *Order) Ask(customer string, members []string, now time.Duration) (ask []string, in time.Duration) {
+func (o *Order) Ask(customer string, first bool, members []string, now time.Duration) (ask []string, in time.Duration) {
 	in = -1
 	for _, m := range members {
-		key := place{customer, m}
+		key := place{customer, m, first}
 		left := o.empty[key] - now
 		if left <= 0 {
 			delete(o.empty, key)
--- a/daemon/entry/customer.go
+++ b/daemon/entry/customer.go
@@ -130,5 +130,9 @@
 	q := x.customer.Quota
 	return x.host.History.Take(ctx, quota.Ask{
 		Customer: x.customer.Name, Limit: quota.Limit{Rate: q.Rate, Burst: q.Burst}.Widen(x.host.Quotas), Version: x.customerVersion,
+		First: x.begins(),
 	})
 }
+
+// begins reports whether the request is the first of its program.
+func (x *exchange) begins() bool { return x.isTurn() && !x.underWay }
--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -100,7 +100,7 @@
 		Query: balance.Query{
 			Service: x.service, Parts: x.call.Prefix, PromptTokens: x.call.PromptTokens, Exclude: x.tried, Only: x.room.only(),
 		},
-		UnderWay: !x.isTurn() || x.underWay || x.sends > 0, Draw: x.draw(),
+		UnderWay: !x.begins() || x.sends > 0, Draw: x.draw(),
 	}, h.now())
 	if v.Decision != dispatch.Send {
 		size := h.registry.Size()
@@ -113,7 +113,7 @@
 	h.mu.Unlock()
 	x.tried[listed.ID] = true
 	x.target, x.born, x.load = listed.ID, listed.Born, float64(c.Load)/float64(max(1, c.Places))
-	h.Log.Info("request routed", "request", x.call.ID, "program", x.call.Program, "route", x.route.Name, "config", x.table.Version,
+	h.Log.Info("request routed", "request", x.call.ID, "program", x.call.Program, "customer", x.customerName(), "route", x.route.Name, "config", x.table.Version,
 		"target", listed.ID, "data_centre", listed.DataCentre, "load", c.Load, "places", c.Places, "report_age_ms", c.ReportAge.Milliseconds(),
 		"prompt", x.call.PromptTokens, "missing", c.Missing, "candidates", c.Candidates, "send", x.sends+1,
 		"left_ms", time.Until(x.deadline).Milliseconds(), "after_ms", time.Since(x.began).Milliseconds())
--- a/daemon/entry/handle.go
+++ b/daemon/entry/handle.go
@@ -95,12 +95,12 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(x.r.Context(), x.deadline, context.DeadlineExceeded)
 	defer cancel()
-	if err := x.withinQuota(ctx); err != nil {
-		return err
-	}
 	if x.isTurn() {
 		return x.serveTurn(ctx)
 	}
+	if err := x.withinQuota(ctx); err != nil {
+		return err
+	}
 	return x.forward(ctx)
 }
 
@@ -165,7 +165,7 @@
 	status := statusOf(f)
 	x.host.Meter.Count("requests", "failed", string(f.Kind))
 	x.host.Log.Info("request failed",
-		"request", x.call.ID, "program", x.call.Program, "kind", string(f.Kind), "ran", string(f.Ran), "status", status,
+		"request", x.call.ID, "program", x.call.Program, "customer", x.customerName(), "kind", string(f.Kind), "ran", string(f.Ran), "status", status,
 		"sends", x.sends, "target", x.target, "after_ms", time.Since(x.began).Milliseconds(), "detail", f.Detail)
 	if x.answered {
 		// The head is out: only a broken connection tells that the rest is missing.
--- a/daemon/entry/turn.go
+++ b/daemon/entry/turn.go
@@ -59,6 +59,9 @@
 func (x *exchange) serveTurn(ctx context.Context) error {
 	t := &turn{x: x, input: x.body}
 	err := t.begin(ctx)
+	if err == nil {
+		err = x.withinQuota(ctx)
+	}
 	x.host.Meter.Observe("turn_begin", time.Since(x.began))
 	if err != nil {
 		t.settle()
--- a/daemon/quorum/take.go
+++ b/daemon/quorum/take.go
@@ -39,14 +39,14 @@
 		return quota.Grant{}, failure.New(failure.HistoryUnavailable, "no slot map")
 	}
 	slot := placement.SlotOf(a.Customer)
-	members, in := c.takeFrom(m, &m.Slots[slot], a.Customer)
+	members, in := c.takeFrom(m, &m.Slots[slot], a)
 	t := take{client: c, slots: m, slot: slot, ask: a, members: members, soonest: in, answers: make(chan replyFrom, len(members))}
 	return t.run(ctx)
 }
 
 // takeFrom returns the members to ask in order: one of this data centre first, so that most
 // tokens cost no way between data centres, those that do not answer last.
-func (c *Client) takeFrom(m *placement.Map, s *placement.Slot, customer string) (members []string, in time.Duration) {
+func (c *Client) takeFrom(m *placement.Map, s *placement.Slot, a quota.Ask) (members []string, in time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.turn++
@@ -64,14 +64,14 @@
 		}
 	}
 	all := append(append(near, far...), failing...)
-	return c.order.Ask(customer, all, now.Sub(c.start))
+	return c.order.Ask(a.Customer, a.First, all, now.Sub(c.start))
 }
 
 // refused notes that a member has no token.
-func (c *Client) refused(customer, member string, in time.Duration) {
+func (c *Client) refused(a quota.Ask, member string, in time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.order.Refused(customer, member, in, time.Since(c.start))
+	c.order.Refused(a.Customer, member, a.First, in, time.Since(c.start))
 }
 
 // take is one round of questions for a token.
@@ -122,7 +122,7 @@
 	t.asked++
 	t.waiting++
 	t.client.send(t.slots, t.slot, id, &historypb.Request{Call: &historypb.Request_Take{Take: &historypb.Take{
-		Customer: t.ask.Customer, Version: t.ask.Version, Rate: t.ask.Limit.Rate, Burst: t.ask.Limit.Burst,
+		Customer: t.ask.Customer, Version: t.ask.Version, Rate: t.ask.Limit.Rate, Burst: t.ask.Limit.Burst, First: t.ask.First,
 	}}}, t.answers)
 }
 
@@ -136,7 +136,7 @@
 		return true
 	}
 	in := max(time.Microsecond, time.Duration(a.reply.GetTokenInUs())*time.Microsecond)
-	t.client.refused(t.ask.Customer, a.member, in)
+	t.client.refused(t.ask, a.member, in)
 	if t.soonest == 0 || in < t.soonest {
 		t.soonest = in
 	}
