--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -116,10 +116,19 @@
 	h.Log.Info("request routed", "request", x.call.ID, "program", x.call.Program, "customer", x.customerName(), "route", x.route.Name, "config", x.table.Version,
 		"target", listed.ID, "data_centre", listed.DataCentre, "load", c.Load, "places", c.Places, "report_age_ms", c.ReportAge.Milliseconds(),
 		"prompt", x.call.PromptTokens, "missing", c.Missing, "candidates", c.Candidates, "send", x.sends+1,
-		"left_ms", time.Until(x.deadline).Milliseconds(), "after_ms", time.Since(x.began).Milliseconds())
+		"left_ms", time.Until(x.deadline).Milliseconds(), "program_left_ms", x.programLeft().Milliseconds(), "after_ms", time.Since(x.began).Milliseconds())
 	return listed, nil
 }
 
+// programLeft is the time that the program has left by now, below zero if it is late; zero
+// if its caller does not say.
+func (x *exchange) programLeft() time.Duration {
+	if x.call.ProgramLeft == 0 {
+		return 0
+	}
+	return x.call.ProgramLeft - time.Since(x.began)
+}
+
 // unsent is the failure of a request that goes to no target.
 func (x *exchange) unsent(v dispatch.Verdict, targets int) error {
 	if v.Decision == dispatch.NoTarget {
