--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -202,6 +202,12 @@
 	t.cache.add(parts, now)
 }
 
+// HasRead notes that the target has read these parts for another host.
+func (t *Target) HasRead(parts []request.Part, now time.Duration) { t.cache.add(parts, now) }
+
+// Reads is how many tokens of the beginning of a prompt the target is believed to have read.
+func (t *Target) Reads(parts []request.Part) int64 { return t.cache.covered(parts) }
+
 // Outcome is how a request at a target ended.
 type Outcome uint8
 
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -8,6 +8,7 @@
 package ledger
 
 import (
+	"maps"
 	"slices"
 
 	"google.golang.org/protobuf/proto"
@@ -18,6 +19,8 @@
 type spending struct {
 	tokens  int64
 	settled bool
+	// ran is where the turn ran, nil if that is not known.
+	ran *historypb.Ran
 }
 
 type program struct {
@@ -59,7 +62,7 @@
 			p.spent[c.Reserve.Turn] = spending{tokens: c.Reserve.Tokens}
 		}
 	case *historypb.Record_Settle:
-		p.spent[c.Settle.Turn] = spending{tokens: c.Settle.Tokens, settled: true}
+		p.spent[c.Settle.Turn] = spending{tokens: c.Settle.Tokens, settled: true, ran: c.Settle.Ran}
 	case *historypb.Record_Turn:
 		l.keep(p, c.Turn)
 	}
@@ -117,6 +120,25 @@
 	return list
 }
 
+// Ran returns the targets that have read prompts of the program which ended with one of
+// the parts, each with the longest of these.
+func (l *Ledger) Ran(name string, parts []string) []*historypb.Ran {
+	p := l.programs[name]
+	if p == nil || len(parts) == 0 {
+		return nil
+	}
+	longest := map[string]*historypb.Ran{} // by target
+	for _, s := range p.spent {
+		if s.ran == nil || !slices.Contains(parts, s.ran.Part) {
+			continue
+		}
+		if old := longest[s.ran.Target]; old == nil || old.Prompt < s.ran.Prompt {
+			longest[s.ran.Target] = s.ran
+		}
+	}
+	return slices.Collect(maps.Values(longest))
+}
+
 // Chain returns the turn and those before it, newest first, as far as they are
 // here.
 func (l *Ledger) Chain(turn string) []*historypb.Turn {
@@ -174,7 +196,7 @@
 	for turn, s := range p.spent {
 		r := &historypb.Record{Slot: p.slot, Program: name, ExpiresMs: p.expires}
 		if s.settled {
-			r.Change = &historypb.Record_Settle{Settle: &historypb.Settle{Turn: turn, Tokens: s.tokens}}
+			r.Change = &historypb.Record_Settle{Settle: &historypb.Settle{Turn: turn, Tokens: s.tokens, Ran: s.ran}}
 		} else {
 			r.Change = &historypb.Record_Reserve{Reserve: &historypb.Reserve{Turn: turn, Tokens: s.tokens}}
 		}
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -205,3 +205,32 @@
 	}
 	require.Len(t, seen, 25)
 }
+
+// Of each target the longest prompt is told, and only of prompts that ended with a part
+// asked for; a copy of the records tells the same.
+func TestRanTellsWhichTargetsHaveReadAPart(t *testing.T) {
+	l := New()
+	ran := func(turn, target, part string, prompt int64) {
+		l.Apply(&historypb.Record{Program: "p", Change: &historypb.Record_Settle{Settle: &historypb.Settle{
+			Turn: turn, Ran: &historypb.Ran{Target: target, Part: part, Prompt: prompt},
+		}}})
+	}
+	ran("1", "a", "own", 100)
+	ran("2", "b", "own", 300)
+	ran("3", "a", "own", 200)
+	ran("4", "c", "other", 900)
+	l.Apply(settle("p", "5", 3))
+	copied := New()
+	for _, r := range l.Program("p") {
+		copied.Apply(r)
+	}
+	for _, x := range []*Ledger{l, copied} {
+		got := map[string]int64{}
+		for _, r := range x.Ran("p", []string{"unknown", "own"}) {
+			got[r.Target] = r.Prompt
+		}
+		require.Equal(t, map[string]int64{"a": 200, "b": 300}, got)
+		require.Empty(t, x.Ran("p", nil))
+		require.Empty(t, x.Ran("q", []string{"own"}))
+	}
+}
--- a/daemon/entry/turn.go
+++ b/daemon/entry/turn.go
@@ -94,13 +94,14 @@
 	if x.route.Retained {
 		previous = x.owned(x.call.Previous)
 	}
-	past, err := history.Read(ctx, x.owned(x.call.Program), previous)
+	past, err := history.Read(ctx, x.owned(x.call.Program), previous, x.ownParts()...)
 	if err != nil {
 		return t.later(err)
 	}
 	if past, err = t.afford(ctx, past); err != nil {
 		return err
 	}
+	x.learn(past.Ran)
 	x.underWay = x.call.Previous != "" || past.Usage.Without(x.call.ID) > 0
 	return t.prepend(ctx, past.Chain, past.Elsewhere)
 }
@@ -198,7 +199,7 @@
 
 func (t *turn) settlement() *historypb.Record {
 	return &historypb.Record{Change: &historypb.Record_Settle{
-		Settle: &historypb.Settle{Turn: t.x.call.ID, Tokens: t.tokens()},
+		Settle: &historypb.Settle{Turn: t.x.call.ID, Tokens: t.tokens(), Ran: t.ran()},
 	}}
 }
 
--- a/daemon/history/server.go
+++ b/daemon/history/server.go
@@ -288,6 +288,7 @@
 		Status:   historypb.Status_STATUS_OK,
 		Spending: s.ledger.Spending(r.Program),
 		Chain:    s.ledger.Chain(r.Turn),
+		Ran:      s.ledger.Ran(r.Program, r.Parts),
 	}
 }
 
--- a/daemon/quorum/incomplete_test.go
+++ b/daemon/quorum/incomplete_test.go
@@ -41,6 +41,6 @@
 		}
 	}
 	require.True(t, failure.Is(c.writeOnce(t.Context(), []*historypb.Record{record}), failure.HistoryUnavailable))
-	_, err = c.readOnce(t.Context(), "p", "")
+	_, err = c.readOnce(t.Context(), "p", "", nil)
 	require.True(t, failure.Is(err, failure.HistoryUnavailable), "%v", err)
 }
--- a/daemon/quorum/read.go
+++ b/daemon/quorum/read.go
@@ -15,17 +15,19 @@
 	Usage ledger.Usage
 	// Chain is the chain of turns asked for, newest first.
 	Chain []*historypb.Turn
+	// Ran is the targets that have read the parts asked for.
+	Ran []*historypb.Ran
 	// Elsewhere reports that the chain was kept by another program.
 	Elsewhere bool
 }
 
-// Read returns the budget use of a program, and the chain that ends with turn
-// unless that is empty. It fails with UnknownTurn only if every place where the
+// Read returns the budget use of a program, the chain that ends with turn unless that is
+// empty, and where turns ran whose prompts ended with one of the parts. It fails with UnknownTurn only if every place where the
 // turn could be was asked, and with HistoryUnavailable if not enough answered.
-func (c *Client) Read(ctx context.Context, program, turn string) (*Past, error) {
+func (c *Client) Read(ctx context.Context, program, turn string, parts ...string) (*Past, error) {
 	began := time.Now()
 	for {
-		past, err := c.readOnce(ctx, program, turn)
+		past, err := c.readOnce(ctx, program, turn, parts)
 		if err == nil || failure.Is(err, failure.UnknownTurn) {
 			c.meter.Observe("history_read", time.Since(began))
 			return past, err
@@ -37,7 +39,7 @@
 	}
 }
 
-func (c *Client) readOnce(ctx context.Context, program, turn string) (*Past, error) {
+func (c *Client) readOnce(ctx context.Context, program, turn string, parts []string) (*Past, error) {
 	m := c.current()
 	if m == nil || !m.Assigned() {
 		return nil, failure.New(failure.HistoryUnavailable, "no slot map")
@@ -49,11 +51,12 @@
 	first := c.nearest(m, &m.Slots[slot])
 	err := c.gather(ctx, m, slot, func(member string) *historypb.Read {
 		if member == first {
-			return &historypb.Read{Program: program, Turn: turn}
+			return &historypb.Read{Program: program, Turn: turn, Parts: parts}
 		}
-		return &historypb.Read{Program: program}
+		return &historypb.Read{Program: program, Parts: parts}
 	}, func(r *historypb.Reply) {
 		past.Usage.Merge(r.Spending)
+		past.Ran = append(past.Ran, r.Ran...)
 		collect(turns, r.Chain)
 	})
 	if err != nil {
