--- a/daemon/entry/customer.go
+++ b/daemon/entry/customer.go
@@ -208,7 +208,7 @@
 	}
 	switch {
 	case err != nil:
-		return failure.Retry(failure.HistoryUnavailable, x.host.comeBack(), "quota of %s: %v", x.customer.Name, err)
+		return failure.Retry(failure.HistoryUnavailable, x.comeBack(), "quota of %s: %v", x.customer.Name, err)
 	case !grant.Granted:
 		x.host.Meter.Count("turned_away", "quota")
 		return failure.Retry(failure.QuotaExceeded, grant.In, "customer %s, %g requests a second and %g at once, version %d, first of its program: %t",
--- a/daemon/entry/host.go
+++ b/daemon/entry/host.go
@@ -210,6 +210,12 @@
 	return max(retryLater, rotationTime-isolated)
 }
 
+// turnPause is the longest time after which the caller of a turn comes back while this host
+// is cut off from history hosts. Unlike a call, a turn is sent up to six times, each to
+// another host, so that it finds one that serves before the balancer has taken out all that
+// do not; waiting for the balancer costs most of what a program's aim leaves.
+const turnPause = 350 * time.Millisecond
+
 // ServeReady answers the platform's question whether the host takes requests.
 func (h *Host) ServeReady(listener net.Listener) {
 	mux := http.NewServeMux()
--- a/daemon/entry/turn.go
+++ b/daemon/entry/turn.go
@@ -79,7 +79,7 @@
 func (t *turn) begin(ctx context.Context) error {
 	x := t.x
 	if !x.host.History.Servable(x.owned(x.call.Program)) {
-		return failure.Retry(failure.HistoryUnavailable, x.host.comeBack(), "history hosts of the program are out of reach")
+		return failure.Retry(failure.HistoryUnavailable, x.comeBack(), "history hosts of the program are out of reach")
 	}
 	ctx, cancel := context.WithTimeout(ctx, historyPatience)
 	defer cancel()
@@ -145,10 +145,18 @@
 	if f.Kind == failure.UnknownTurn {
 		return &f
 	}
-	f.Kind, f.Ran, f.RetryAfter = failure.HistoryUnavailable, failure.RanNo, t.x.host.comeBack()
+	f.Kind, f.Ran, f.RetryAfter = failure.HistoryUnavailable, failure.RanNo, t.x.comeBack()
 	return &f
 }
 
+// comeBack is when the caller should try again after history hosts could not serve it.
+func (x *exchange) comeBack() time.Duration {
+	if !x.isTurn() {
+		return x.host.comeBack()
+	}
+	return min(turnPause, x.host.comeBack())
+}
+
 // prepend puts the chain, oldest turn first, before the new input. A chain that
 // another program kept is copied, so that it lives as long as this program.
 func (t *turn) prepend(ctx context.Context, chain []*historypb.Turn, elsewhere bool) error {
