--- a/ctl/roles/cluster_test.go
+++ b/ctl/roles/cluster_test.go
@@ -337,7 +337,11 @@
 	e.stop = cancel
 	store := c.store.At(e.place)
 	source := func() *relay.Source { return relay.NewSource(e.name, store, e.past, logger()) }
-	go objects.Follow(ctx, source().Patient(), configKind, c.configWatch(600*time.Millisecond), entry.NewConfigView(e.host, configName, decodeTable))
+	followConfig := objects.Follow
+	if c.keyed {
+		followConfig = objects.FollowClosely
+	}
+	go followConfig(ctx, source().Patient(), configKind, c.configWatch(600*time.Millisecond), entry.NewConfigView(e.host, configName, decodeTable))
 	go objects.Follow(ctx, source().Patient(), targetKind, watchFor, entry.NewTargetView(e.host, decodeTarget))
 	go objects.Follow(ctx, source(), history.Kind, history.MapWatch, e.past)
 	go e.host.Run(ctx)
--- a/daemon/cmd/pistachiod/entry.go
+++ b/daemon/cmd/pistachiod/entry.go
@@ -40,7 +40,11 @@
 	store := meter.Store(platform.NewStore(set.PlatformAddress), o.meter)
 	o.serve(follow, set.MetricsListen())
 	source := func() *relay.Source { return relay.NewSource(set.Host, store, past, logger) }
-	go objects.Follow(follow, source().Patient(), platform.ConfigKind, set.ConfigWatch(), entry.NewConfigView(host, platform.ConfigName, platform.Table))
+	followConfig := objects.Follow
+	if set.KeyRemoval > 0 {
+		followConfig = objects.FollowClosely
+	}
+	go followConfig(follow, source().Patient(), platform.ConfigKind, set.ConfigWatch(), entry.NewConfigView(host, platform.ConfigName, platform.Table))
 	go objects.Follow(follow, source().Patient(), platform.TargetKind, set.WatchFor(), entry.NewTargetView(host, platform.Target))
 	slots := source()
 	if len(set.Seeds) > 0 {
