--- a/ctl/command/command.go
+++ b/ctl/command/command.go
@@ -92,6 +92,7 @@
 		{"rollback", "Put an earlier declaration in force again", "Applies the text of an earlier version as a new version.\n\nExample: pistachioctl rollback --to 4 --wait", &rollbackCommand{app: a}},
 		{"status", "Show the hosts", "Asks each --host for its short state.\n\nExample: pistachioctl --host 10.0.0.1:7001 status", &statusCommand{app: a}},
 		{"dump", "Dump the state of the hosts", "Prints the whole state of each --host as JSON.\n\nExample: pistachioctl --host 10.0.0.1:7001 dump", &dumpCommand{app: a}},
+		{"quotas", "Show what is left of quotas", "Asks each --host, a history host by its metrics address, for its parts of customers' quotas.\n\nExample: pistachioctl --host 10.0.1.1:9464 quotas --customer crew-3", &quotasCommand{app: a}},
 		{"inspect", "Show entry and history roles", "Asks each --host, by its metrics address, for its state or its metrics.\n\nExample: pistachioctl --host 10.0.0.1:9464 inspect", &inspectCommand{app: a}},
 		{"drain", "Stop hosts gracefully", "Tells each --host to hand its programs over and stop, and waits until it has.\n\nExample: pistachioctl --host 10.0.0.1:7001 drain", &drainCommand{app: a}},
 		{"load", "Run agent programs and check what they get", "Runs programs against entry hosts and checks answers, order, repeats and cache.\n\nExample: pistachioctl load --caller-host 10.0.0.1:7000 --plan examples/load.ini", &loadCommand{app: a}},
--- a/ctl/command/inspect_test.go
+++ b/ctl/command/inspect_test.go
@@ -55,3 +55,24 @@
 	code, _, _ = run("inspect")
 	require.Equal(t, ExitUsage, code)
 }
+
+func TestQuotasAreSummedOverHosts(t *testing.T) {
+	host := func(tokens, refused string) string {
+		return roleAnswering(t, map[string]string{"/state": `{"member":"ab","quotas":[{"customer":"crew","config_version":5,"rate_per_s":40,"burst":41,"parts":2,"tokens":` +
+			tokens + `,"granted":7,"refused":` + refused + `}]}`})
+	}
+	a, b := host("1.5", "3"), host("2", "0")
+	run := func(args ...string) (int, string) {
+		var out, errw bytes.Buffer
+		return Main(append([]string{"--host", a, "--host", b}, args...), &out, &errw), out.String()
+	}
+	code, out := run("quotas")
+	require.Equal(t, ExitOK, code)
+	require.Regexp(t, `crew +40 +41 +3.5 +14 +3 +2`, out)
+	code, out = run("quotas", "--customer", "crew")
+	require.Equal(t, ExitOK, code)
+	require.Contains(t, out, a)
+	require.Contains(t, out, b)
+	code, _ = run("quotas", "--customer", "nobody")
+	require.Equal(t, ExitFailure, code)
+}
