--- /dev/null
+++ b/daemon/entry/confirm.go
@@ -0,0 +1,124 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// KeyRules say how current the configuration must be to serve callers by their keys.
+type KeyRules struct {
+	// MaxAge is the longest time since the configuration was surely the newest after which
+	// requests with a key are still sent: a key may have been taken away since. 0 means
+	// that there is no bound.
+	MaxAge time.Duration
+	// SureAge is up to when an unknown key is surely unknown. A host that is further
+	// behind refuses it as one that may be known elsewhere.
+	SureAge time.Duration
+}
+
+// confirm notes that the configuration in force was the newest at an instant.
+func (h *Host) confirm(asOf time.Time) {
+	if asOf.IsZero() {
+		return
+	}
+	at := int64(asOf.Sub(h.start))
+	for {
+		old := h.confirmedAt.Load()
+		if old >= at {
+			return
+		}
+		if h.confirmedAt.CompareAndSwap(old, at) {
+			h.confirmed.tell()
+			return
+		}
+	}
+}
+
+// broadcast wakes all who wait at once. Its zero value is ready for use.
+type broadcast struct {
+	mu   sync.Mutex
+	next chan struct{}
+}
+
+// wait returns a channel that is closed by the next tell.
+func (b *broadcast) wait() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.next == nil {
+		b.next = make(chan struct{})
+	}
+	return b.next
+}
+
+func (b *broadcast) tell() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.next != nil {
+		close(b.next)
+		b.next = nil
+	}
+}
+
+// neverConfirmed is confirmedAt before the first sound word of the platform.
+const neverConfirmed = -1 << 62
+
+// configurationAge is how long ago the configuration in force was surely the newest.
+func (h *Host) configurationAge() time.Duration {
+	return h.now() - time.Duration(h.confirmedAt.Load())
+}
+
+// staleFor is for how long the configuration has been too old to serve by keys; 0 while it
+// is not.
+func (h *Host) staleFor() time.Duration {
+	t := h.table.Load()
+	if h.Keys.MaxAge == 0 || t == nil || !t.Keyed() {
+		return 0
+	}
+	return max(0, h.configurationAge()-h.Keys.MaxAge)
+}
+
+const (
+	// outagePause is when a caller comes back in an outage of the platform: callers give up
+	// after a few tries, and no host serves it sooner.
+	outagePause = time.Second
+	// confirmWait and confirmShare bound the wait for a sound word of the platform, in all
+	// and as a part of the time that the caller has: an outage that is over soon then costs
+	// that time, and not the program.
+	confirmWait  = 1200 * time.Millisecond
+	confirmShare = 3
+)
+
+// alone reports whether this host is cut off from the others, which may be better off.
+func (h *Host) alone() bool { return h.History.Isolated() > 0 }
+
+// staleComeBack is when a caller that shows a key should try again after the configuration
+// has been too old for a while: at another host as soon as the balancer sends it there, or,
+// where others are no better off, when the platform may be back.
+func (h *Host) staleComeBack(stale time.Duration) time.Duration {
+	if h.alone() {
+		return max(retryLater, rotationTime-stale)
+	}
+	return outagePause
+}
+
+// awaitConfirmation waits for the platform while it does not answer the hosts that follow it
+// for this one. A host that is cut off from these does not wait.
+func (x *exchange) awaitConfirmation(ctx context.Context) {
+	h := x.host
+	if x.route.Public || h.staleFor() == 0 || h.alone() {
+		return
+	}
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, min(confirmWait, time.Until(x.deadline)/confirmShare))
+	defer cancel()
+	for confirmed := h.confirmed.wait(); h.staleFor() > 0; confirmed = h.confirmed.wait() {
+		select {
+		case <-confirmed:
+		case <-ctx.Done():
+			return
+		}
+	}
+	h.Meter.Count("waits", "configuration")
+	h.Log.Info("request waited for the configuration", "request", x.call.ID, "program", x.call.Program, "waited_ms", time.Since(began).Milliseconds())
+}
