--- a/daemon/entry/entry_test.go
+++ b/daemon/entry/entry_test.go
@@ -289,3 +289,19 @@
 	record(&historypb.Record{Change: &historypb.Record_Reserve{Reserve: &historypb.Reserve{Turn: "2", Tokens: 80}}})
 	require.Equal(t, http.StatusPaymentRequired, s.turn("/turn/", "3", "", "in").status)
 }
+
+// A turn that ran and cannot be kept, because history hosts are out of reach, is broken off
+// soon: its caller does not wait for the end of a cut.
+func TestTurnThatCannotBeKeptIsBrokenOff(t *testing.T) {
+	var s *system
+	x := newTarget(t, "t1", func(_ int, _ received, id string) (string, bool) {
+		for _, m := range s.members {
+			m.silent.Store(true)
+		}
+		return streamed(id, 1, "said"), false
+	})
+	s = newSystem(t, x)
+	got := s.post("/turn/", "input", ownheaders.ID, "1", ownheaders.Program, "p", ownheaders.Left, "30000", ownheaders.MaxTokens, "3")
+	require.Equal(t, http.StatusOK, got.status, "its events are passed on")
+	require.Error(t, got.err, "it does not look whole")
+}
--- a/daemon/entry/turn.go
+++ b/daemon/entry/turn.go
@@ -19,6 +19,10 @@
 	// their way: one takes some 5 ms, and the refusal ends the program.
 	settlementWait = 300 * time.Millisecond
 	settlementPoll = 30 * time.Millisecond
+	// cutPatience is how long history hosts may be out of reach until a turn that cannot be
+	// kept is broken off: its caller sends it again elsewhere, and would else wait for the end
+	// of the cut, or give up after two seconds and more.
+	cutPatience = 500 * time.Millisecond
 	// settlePatience bounds the settling of a budget after an answer.
 	settlePatience = 3 * time.Second
 )
@@ -199,7 +203,7 @@
 	records := []*historypb.Record{t.settlement(), {Change: &historypb.Record_Turn{
 		Turn: &historypb.Turn{Turn: t.x.owned(t.x.call.ID), Previous: t.x.owned(t.x.call.Previous), Content: content},
 	}}}
-	if err := t.x.host.History.Write(ctx, t.x.owned(t.x.call.Program), t.x.retention(), records...); err != nil {
+	if err := t.x.host.History.WriteWithin(ctx, cutPatience, t.x.owned(t.x.call.Program), t.x.retention(), records...); err != nil {
 		return failure.Unknown(failure.HistoryUnavailable, "turn not kept: %v", err)
 	}
 	return nil
--- a/daemon/quorum/health.go
+++ b/daemon/quorum/health.go
@@ -101,6 +101,35 @@
 	return m != nil && m.Assigned() && c.servable(m, &m.Slots[placement.SlotOf(program)], time.Now())
 }
 
+// outOfReach returns for how long the program's slot has not been servable, by what is
+// known now; 0 if it may be.
+func (c *Client) outOfReach(program string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.slots
+	if m == nil || !m.Assigned() {
+		return 0
+	}
+	now := time.Now()
+	s := &m.Slots[placement.SlotOf(program)]
+	alive := map[string]bool{}
+	active, since := 0, forever
+	for _, r := range s.Replicas {
+		if failing := c.failingFor(r.Member, now); failing > 0 {
+			since = min(since, failing)
+			continue
+		}
+		alive[r.Member] = true
+		if !r.Joining {
+			active++
+		}
+	}
+	if m.Written(s, alive) && active >= m.ReadQuorum(s) {
+		return 0
+	}
+	return max(since, 1)
+}
+
 // Isolated returns how long most slots have not been servable; 0 if they are.
 func (c *Client) Isolated() time.Duration {
 	c.mu.Lock()
--- a/daemon/quorum/quorum.go
+++ b/daemon/quorum/quorum.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"sync"
 	"time"
 
@@ -185,6 +186,15 @@
 // from now on. Write goes on trying until the context ends; records may be
 // written more than once.
 func (c *Client) Write(ctx context.Context, program string, retention time.Duration, records ...*historypb.Record) error {
+	return c.WriteWithin(ctx, forever, program, retention, records...)
+}
+
+// forever is longer than any cut.
+const forever = time.Duration(math.MaxInt64)
+
+// WriteWithin is Write that gives up once the program has been out of reach for a while: a
+// caller who is told so finds another host, one who waits loses that time as well.
+func (c *Client) WriteWithin(ctx context.Context, patience time.Duration, program string, retention time.Duration, records ...*historypb.Record) error {
 	expires := time.Now().Add(retention + retentionSlack).UnixMilli()
 	for _, r := range records {
 		r.Slot, r.Program, r.ExpiresMs = placement.SlotOf(program), program, expires
@@ -197,7 +207,7 @@
 			return nil
 		}
 		c.meter.Count("history_writes", "failed")
-		if !pause(ctx) {
+		if c.outOfReach(program) > patience || !pause(ctx) {
 			return err
 		}
 	}
