--- a/daemon/relay/fresh_test.go
+++ b/daemon/relay/fresh_test.go
@@ -44,6 +44,13 @@
 	return n
 }
 
+// since is when the value became n.
+func (t *truth) since(n int) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changes[n-1]
+}
+
 // witness is a host that checks what it is told: no word claims to be the newest as of a
 // time at which there was a newer one.
 type witness struct {
@@ -82,7 +89,7 @@
 	}
 	if newest := w.truth.at(asOf); newest > w.value {
 		w.wrong = append(w.wrong, fmt.Sprintf("%s claims value %d as of %s, it was %d since %s",
-			w.name, w.value, asOf, newest, w.truth.changes[newest-1]))
+			w.name, w.value, asOf, newest, w.truth.since(newest)))
 	}
 	if !w.since.IsZero() && w.asOf.After(w.since) {
 		w.oldest = max(w.oldest, time.Since(w.asOf))
