--- a/ctl/player/policies.go
+++ b/ctl/player/policies.go
@@ -26,7 +26,9 @@
 		vary("no_wait", func(w *balance.Weights, _ *dispatch.Limits) { w.Wait = 0 }),
 		vary("no_far", func(w *balance.Weights, _ *dispatch.Limits) { w.Far = 0 }),
 		vary("no_connect", func(w *balance.Weights, _ *dispatch.Limits) { w.Connect = 0 }),
-		{Name: "former", Weights: balance.FormerWeights(), Ran: true},
+		// The way before, whole; and its weights with what hosts are told now.
+		{Name: "former", Weights: balance.FormerWeights()},
+		{Name: "former_weights", Weights: balance.FormerWeights(), Ran: true},
 		{Name: "least_loaded", Weights: balance.Weights{Busy: 1, Wait: 1}, Ran: true},
 	}
 }
