--- a/daemon/entry/customer_test.go
+++ b/daemon/entry/customer_test.go
@@ -217,6 +217,7 @@
 	s := newSystem(t, x)
 	s.keyed(limited("a", 6), customer("b"))
 	s.aged.Store(true)
+	s.host.HistoryPatience = historyPatience
 	for _, m := range s.members {
 		m.silent.Store(true)
 	}
--- a/daemon/entry/host.go
+++ b/daemon/entry/host.go
@@ -43,6 +43,9 @@
 	// Dialer opens connections to targets.
 	Dialer     targetpool.Dialer
 	DataCentre string
+	// HistoryPatience is how long history hosts are waited for before a request is sent;
+	// historyPatience if it is 0.
+	HistoryPatience time.Duration
 	// MemoryBytes and Descriptors are the process's limits; 0 if there is none.
 	MemoryBytes int64
 	Descriptors int
@@ -86,6 +89,7 @@
 
 // New returns a host without configuration and targets.
 func New(o Options) *Host {
+	o.HistoryPatience = cmp.Or(o.HistoryPatience, historyPatience)
 	registry := balance.NewRegistry(o.DataCentre, balance.DefaultWeights())
 	h := &Host{
 		Options:    o,
--- a/daemon/entry/quota.go
+++ b/daemon/entry/quota.go
@@ -34,7 +34,7 @@
 	if x.customer == nil || !x.customer.Quota.Limited() {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, historyPatience)
+	ctx, cancel := context.WithTimeout(ctx, x.host.HistoryPatience)
 	defer cancel()
 	grant, err := x.takeToken(ctx)
 	for left := x.tokenPatience(); err == nil && !grant.Granted && grant.In <= left && sleep(ctx, grant.In); {
--- a/daemon/entry/turn.go
+++ b/daemon/entry/turn.go
@@ -85,7 +85,7 @@
 	if !x.host.History.Servable(x.owned(x.call.Program)) {
 		return failure.Retry(failure.HistoryUnavailable, x.comeBack(), "history hosts of the program are out of reach")
 	}
-	ctx, cancel := context.WithTimeout(ctx, historyPatience)
+	ctx, cancel := context.WithTimeout(ctx, x.host.HistoryPatience)
 	defer cancel()
 	reserve := &historypb.Record{Change: &historypb.Record_Reserve{
 		Reserve: &historypb.Reserve{Turn: x.call.ID, Tokens: x.call.MaxTokens},
