--- a/daemon/entry/harness_test.go
+++ b/daemon/entry/harness_test.go
@@ -163,6 +163,10 @@
 
 func quietLog() *log.Logger { return log.New(io.Discard) }
 
+// memberPatience is how long a silent history host is waited for, in place of 0.3 s: tests
+// in which one is silent wait for it.
+const memberPatience = 3 * time.Second
+
 // harnessPatience is how long the tests' host waits for its history hosts: on a busy machine
 // a process of theirs may stand still for longer than a deployment's host would wait.
 const harnessPatience = 20 * time.Second
@@ -171,6 +175,7 @@
 // /turn/ (retained) and /quick/ (resumable), all to service "s".
 func newSystem(t *testing.T, targets ...*target) *system {
 	s := &system{t: t, past: quorum.New(&net.Dialer{}, "dc1", quietLog(), nil)}
+	s.past.Patient(memberPatience)
 	s.startHistory(3)
 	s.host = New(Options{Headers: ownheaders.Headers{}, History: s.past, Dialer: &net.Dialer{}, DataCentre: "dc1", ReadyPath: "/ready", Log: quietLog(),
 		HistoryPatience: harnessPatience})
--- a/daemon/quorum/quorum.go
+++ b/daemon/quorum/quorum.go
@@ -31,6 +31,8 @@
 	// seeds are addresses of history hosts from the settings.
 	seeds []string
 	start time.Time
+	// callTimeout is that of the package unless Patient says otherwise.
+	callTimeout time.Duration
 
 	mu     sync.Mutex
 	slots  *placement.Map
@@ -46,7 +48,7 @@
 // New returns a client without a slot map. Replicas of dataCentre are read first; m
 // may be nil.
 func New(dialer rpc.Dialer, dataCentre string, logger *log.Logger, m *meter.Meter) *Client {
-	c := &Client{pool: rpc.NewPool(dialer), dataCentre: dataCentre, logger: logger, meter: m, health: map[string]*health{}, order: quota.NewOrder(), start: time.Now()}
+	c := &Client{pool: rpc.NewPool(dialer), dataCentre: dataCentre, logger: logger, meter: m, health: map[string]*health{}, order: quota.NewOrder(), start: time.Now(), callTimeout: callTimeout}
 	m.Gauge("slot_map_epoch", func() int64 { return int64(c.epoch()) })
 	m.Gauge("history_isolated_ms", func() int64 { return c.Isolated().Milliseconds() })
 	return c
@@ -136,6 +138,12 @@
 // a member that never answers is found out also where others were enough.
 const callTimeout = time.Second
 
+// Patient lets members be silent for longer than a deployment's may, and calls take as long,
+// before the client is used: for tests, on machines that are busy with other work.
+func (c *Client) Patient(d time.Duration) {
+	c.pool.Silence, c.callTimeout = d, d
+}
+
 // scatter sends a request to each of the members and returns their answers as
 // they come. The request for a member is made by build.
 func (c *Client) scatter(m *placement.Map, slot uint32, members []string, build func(member string) *historypb.Request) <-chan replyFrom {
@@ -151,7 +159,7 @@
 	req.Member, req.Slot, req.Epoch = id, slot, m.Epoch
 	client := c.pool.Client(m.Members[id].Address)
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), c.callTimeout)
 		defer cancel()
 		reply, err := client.Call(ctx, req)
 		c.note(id, err)
--- a/wire/rpc/client.go
+++ b/wire/rpc/client.go
@@ -42,6 +42,8 @@
 type Client struct {
 	address string
 	dialer  Dialer
+	// silence closes a connection on which calls wait and nothing arrives.
+	silence time.Duration
 
 	mu        sync.Mutex
 	link      *link
@@ -53,7 +55,7 @@
 
 // NewClient returns a client of the member at address. It dials on first use.
 func NewClient(address string, dialer Dialer) *Client {
-	return &Client{address: address, dialer: dialer}
+	return &Client{address: address, dialer: dialer, silence: silenceLimit}
 }
 
 // Call sends a request and waits for its reply. Any error means that the member
@@ -69,7 +71,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return l.call(ctx, req, wait+silenceLimit)
+	return l.call(ctx, req, wait+c.silence)
 }
 
 // Close ends the connection; later calls fail.
@@ -116,7 +118,7 @@
 func (c *Client) dial(done chan struct{}) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	l, err := openLink(ctx, c.dialer, c.address)
+	l, err := openLink(ctx, c.dialer, c.address, c.silence)
 	c.mu.Lock()
 	c.link, c.dialError = l, err
 	if err != nil {
@@ -131,6 +133,7 @@
 type link struct {
 	session *yamux.Session
 	stream  net.Conn
+	silence time.Duration
 
 	// out is what the link has to write, by a goroutine of its own: a write to a peer
 	// behind a cut may hang for longer than its call may wait.
@@ -144,7 +147,7 @@
 	done    chan struct{}
 }
 
-func openLink(ctx context.Context, dialer Dialer, address string) (*link, error) {
+func openLink(ctx context.Context, dialer Dialer, address string, silence time.Duration) (*link, error) {
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, failure.Wrap(err, failure.PeerUnavailable, "dial %s", address)
@@ -159,7 +162,7 @@
 		_ = session.Close()
 		return nil, failure.Wrap(err, failure.PeerUnavailable, "stream to %s", address)
 	}
-	l := &link{session: session, stream: stream, pending: map[uint64]chan *historypb.Reply{}, heard: time.Now(), out: make(chan *historypb.Request, outQueue), done: make(chan struct{})}
+	l := &link{silence: silence, session: session, stream: stream, pending: map[uint64]chan *historypb.Reply{}, heard: time.Now(), out: make(chan *historypb.Request, outQueue), done: make(chan struct{})}
 	go l.read()
 	go l.write()
 	return l, nil
@@ -216,7 +219,7 @@
 	l.mu.Unlock()
 	silence := time.NewTimer(limit)
 	defer silence.Stop()
-	ping := time.NewTimer(limit - silenceLimit + pingAfter)
+	ping := time.NewTimer(limit - l.silence + pingAfter)
 	defer ping.Stop()
 	out := l.out
 	for {
@@ -290,7 +293,7 @@
 }
 
 func (l *link) writeFrame(req *historypb.Request) error {
-	if err := l.stream.SetWriteDeadline(time.Now().Add(silenceLimit)); err != nil {
+	if err := l.stream.SetWriteDeadline(time.Now().Add(l.silence)); err != nil {
 		return failure.Wrap(err, failure.PeerUnavailable, "write deadline")
 	}
 	return frame.Write(l.stream, req)
--- a/wire/rpc/pool.go
+++ b/wire/rpc/pool.go
@@ -1,10 +1,16 @@
 package rpc
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // Pool keeps one Client for each address. Safe for concurrent use.
 type Pool struct {
 	dialer Dialer
+	// Silence is how long a member may be silent while calls wait for it; it is set before the
+	// first use.
+	Silence time.Duration
 
 	mu      sync.Mutex
 	clients map[string]*Client
@@ -12,7 +18,7 @@
 
 // NewPool returns an empty pool.
 func NewPool(dialer Dialer) *Pool {
-	return &Pool{dialer: dialer, clients: map[string]*Client{}}
+	return &Pool{dialer: dialer, Silence: silenceLimit, clients: map[string]*Client{}}
 }
 
 // Client returns the client of the member at address.
@@ -22,6 +28,7 @@
 	c := p.clients[address]
 	if c == nil {
 		c = NewClient(address, p.dialer)
+		c.silence = p.Silence
 		p.clients[address] = c
 	}
 	return c
