--- a/ctl/roles/cluster_test.go
+++ b/ctl/roles/cluster_test.go
@@ -131,13 +131,6 @@
 // centre.
 func newCrowded(t *testing.T) *cluster { return startCluster(t, 3, true) }
 
-// newKeyed starts a cluster whose callers need the keys of customers.
-func newKeyed(t *testing.T, customers ...routing.Customer) *cluster {
-	c := emptyCluster(t)
-	c.customers, c.keyed = customers, true
-	return c.start(4)
-}
-
 func startCluster(t *testing.T, historyHosts int, crowded bool) *cluster {
 	c := emptyCluster(t)
 	c.crowded = crowded
@@ -223,23 +216,6 @@
 	c.history = append(c.history, h)
 }
 
-// configWatch is how long a watch of the configuration waits: shorter where the removal of
-// keys is bounded.
-func (c *cluster) configWatch(keyed time.Duration) time.Duration {
-	if c.keyed {
-		return keyed
-	}
-	return watchFor
-}
-
-// keyRules are those of a deployment that bounds the removal of keys to removalBound.
-func (c *cluster) keyRules() entry.KeyRules {
-	if !c.keyed {
-		return entry.KeyRules{}
-	}
-	return entry.KeyRules{MaxAge: removalBound * 19 / 20, SureAge: removalBound * 2 / 5}
-}
-
 // killHistory ends a history host's process; its disk stays.
 func (c *cluster) killHistory(i int) *historyHost {
 	h := c.history[i]
--- a/ctl/roles/customers_test.go
+++ b/ctl/roles/customers_test.go
@@ -12,6 +12,7 @@
 	"github.com/pistachioarch/pistachioarch/core/quota"
 	"github.com/pistachioarch/pistachioarch/core/routing"
 	"github.com/pistachioarch/pistachioarch/ctl/standin"
+	"github.com/pistachioarch/pistachioarch/daemon/entry"
 	"github.com/pistachioarch/pistachioarch/wire/ownheaders"
 )
 
@@ -30,6 +31,30 @@
 	return routing.Customer{Name: name, Keys: []routing.KeyDigest{routing.DigestKey(name + "-key")}, Quota: q}
 }
 
+// newKeyed starts a cluster whose callers need the keys of customers.
+func newKeyed(t *testing.T, customers ...routing.Customer) *cluster {
+	c := emptyCluster(t)
+	c.customers, c.keyed = customers, true
+	return c.start(4)
+}
+
+// configWatch is how long a watch of the configuration waits: shorter where the removal of
+// keys is bounded.
+func (c *cluster) configWatch(keyed time.Duration) time.Duration {
+	if c.keyed {
+		return keyed
+	}
+	return watchFor
+}
+
+// keyRules are those of a deployment that bounds the removal of keys to removalBound.
+func (c *cluster) keyRules() entry.KeyRules {
+	if !c.keyed {
+		return entry.KeyRules{}
+	}
+	return entry.KeyRules{MaxAge: removalBound * 4 / 5, SureAge: removalBound * 2 / 5}
+}
+
 // press sends calls of a customer, at so many a second, through all entry hosts in turn.
 func (k *caller) press(customer string, rate int, until <-chan struct{}) {
 	var calls sync.WaitGroup
--- a/daemon/settings/role.go
+++ b/daemon/settings/role.go
@@ -77,9 +77,10 @@
 
 const (
 	// keyAgeShare is the part of the time for the removal of a key after which a host that
-	// has not heard since serves by no key any more. An outage of the platform of 6.8 s cost
-	// 0.39 of a day's worth with 0.8, and words that were 2.8 s old when it began.
-	keyAgeShare = 0.95
+	// has not heard since serves by no key any more. The rest, a second of five, covers watches
+	// of the platform that hear nothing for a second while its history is dropped: a word that
+	// such a watch confirms may be that much older than it says.
+	keyAgeShare = 0.8
 	// relayedShare and followedShare are the waits of the relays' and of the other hosts'
 	// watches of the configuration, as parts of that time. Answers are passed on as they come,
 	// so that a host's word is at most some three waits of a relay old while nothing fails.
--- a/daemon/settings/role_test.go
+++ b/daemon/settings/role_test.go
@@ -49,7 +49,7 @@
 	require.Equal(t, 3300*time.Millisecond, r.WatchFor())
 	require.EqualValues(t, 134<<20, r.MemoryBytes)
 	require.Equal(t, 2, r.FaultHosts)
-	require.Equal(t, 4750*time.Millisecond, r.KeyMaxAge())
+	require.Equal(t, 4*time.Second, r.KeyMaxAge())
 	require.Equal(t, 2*time.Second, r.KeySureAge())
 	require.Equal(t, 300*time.Millisecond, r.RelayedConfigWatch())
 	require.Equal(t, 600*time.Millisecond, r.ConfigWatch())
