--- a/daemon/quorum/quorum.go
+++ b/daemon/quorum/quorum.go
@@ -39,8 +39,8 @@
 	health map[string]*health // by member
 	// order says whom to ask for tokens of quotas.
 	order *quota.Order
-	// turn rotates the members of other data centres that are asked for tokens.
-	turn int
+	// rotation spreads questions for tokens over the members of other data centres.
+	rotation int
 	// isolated is since when most slots cannot be served.
 	isolated time.Time
 }
--- a/daemon/quorum/take.go
+++ b/daemon/quorum/take.go
@@ -49,11 +49,11 @@
 func (c *Client) takeFrom(m *placement.Map, s *placement.Slot, a quota.Ask) (members []string, in time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.turn++
+	c.rotation++
 	now := time.Now()
 	var near, far, failing []string
 	for i := range s.Replicas {
-		id := s.Replicas[(c.turn+i)%len(s.Replicas)].Member
+		id := s.Replicas[(c.rotation+i)%len(s.Replicas)].Member
 		switch {
 		case c.failingFor(id, now) > doubtFor:
 			failing = append(failing, id)
--- a/daemon/relay/fresh_test.go
+++ b/daemon/relay/fresh_test.go
@@ -203,6 +203,15 @@
 	return f
 }
 
+// measure begins to note how old the words of the witnesses become.
+func (f *fresh) measure() {
+	for _, w := range f.witnesses {
+		w.mu.Lock()
+		w.since = time.Now()
+		w.mu.Unlock()
+	}
+}
+
 // close lets the followers end.
 func (f *fresh) close() {
 	f.stop()
@@ -289,11 +298,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := startFresh(1, 12, asIs)
 		time.Sleep(10 * time.Second)
-		for _, w := range f.witnesses {
-			w.mu.Lock()
-			w.since = time.Now()
-			w.mu.Unlock()
-		}
+		f.measure()
 		time.Sleep(30 * time.Second)
 		f.close()
 		for _, w := range f.witnesses {
@@ -308,11 +313,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := startFresh(2, 12, asIs)
 		time.Sleep(10 * time.Second)
-		for _, w := range f.witnesses {
-			w.mu.Lock()
-			w.since = time.Now()
-			w.mu.Unlock()
-		}
+		f.measure()
 		f.link.cut.Store(true)
 		time.Sleep(9 * time.Second)
 		f.link.cut.Store(false)
