--- a/ctl/standin/platform.go
+++ b/ctl/standin/platform.go
@@ -148,7 +148,11 @@
 	}
 }
 
+// pause waits, or reports that the context ended. A wait that is over makes no timer.
 func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
