daemon/relay, settings: changes are in force in time while the platform is silent to relays only

Cause: the timeout of a relay's watch came from the contact window (3 s - 0.7 s, and 0.3 s until it is given up). That excuses the relay, which is out of touch, and not the hosts behind it. A silent second relay hung as long once more, because the first call after a failure was again a watch with its whole wait; then hosts waited up to 0.8 s at a relay and 1.5 s before they asked themselves. Class: a silence counts as 'no change' for as long as the wait, and the waits of a chain add up past the bound.

Change: relays watch configurations and targets (draining has the same bound) for 0.4 of the shorter of config_ms and drain_ms; whoever is asked after a failure, a relay or the platform, is polled first; the first direct call comes at most 0.25 s late. ctl/roles takes its timing from daemon/settings in place of constants of its own, and its store can be silent to a host.

TestKeyAndQuotaSettingsMayBeEmpty expected a relay's watch as long as any; it expects the bounded one now, whose value TestParseRole states.

--- a/ctl/roles/cluster_test.go
+++ b/ctl/roles/cluster_test.go
@@ -34,8 +34,8 @@
 	evacuationKind         = "evacuations"
 	engineService          = "engines"
 	plainService           = "orders"
-	watchTimeout           = 2 * time.Second
 	drainGracePeriod       = 8 * time.Second
+	contactWindow          = 3 * time.Second
 	// retention is short enough that history hosts with clock jumps could drop records that are
 	// still needed.
 	retention = 3 * time.Second
@@ -208,9 +208,11 @@
 	self := placement.Member{ID: server.MemberID(), Host: h.name, Address: h.ip + ":1", DataCentre: c.dataCentre(h.name)}
 	controller := history.NewController(server, store, self, max(1, c.maxFaults), c.retirements, vnet.Dialer{Net: c.net, From: h.ip}, logger())
 	source := func() objects.Reader { return relay.NewSource(h.name, store, controller, logger()) }
+	role := c.role()
 	relays := relay.NewServer(ctx, source, logger(),
-		relay.Kind{Name: configKind, WatchTimeout: c.configWatchTimeout(300 * time.Millisecond), ForwardConfirmations: c.requiresKeys}, relay.Kind{Name: targetKind, WatchTimeout: watchTimeout},
-		relay.Kind{Name: evacuationKind, WatchTimeout: watchTimeout}, relay.Kind{Name: history.MapKind, WatchTimeout: watchTimeout})
+		relay.Kind{Name: configKind, WatchTimeout: role.RelayedConfigWatchTimeout(), ForwardConfirmations: c.requiresKeys},
+		relay.Kind{Name: targetKind, WatchTimeout: role.RelayedWatchTimeout()},
+		relay.Kind{Name: evacuationKind, WatchTimeout: role.WatchTimeout()}, relay.Kind{Name: history.MapKind, WatchTimeout: role.WatchTimeout()})
 	server.SetRelayHandler(relays.Handle)
 	go func() {
 		defer close(h.done)
@@ -329,13 +331,13 @@
 		return relay.NewSource(e.name, store, e.historyClient.AssignedPeers(), logger()).WithStartTimeout(relay.MembersStartTimeout)
 	}
 	slots := relay.NewSource(e.name, store, e.historyClient, logger()).WithStartTimeout(relay.StartTimeout)
-	followConfig := objects.Follow
+	role, followConfig := c.role(), objects.Follow
 	if c.requiresKeys {
 		followConfig = objects.FollowFastRetry
 	}
-	go followConfig(ctx, source(), configKind, c.configWatchTimeout(600*time.Millisecond), entry.NewConfigView(e.host, configName, decodeTable))
-	go objects.Follow(ctx, source(), targetKind, watchTimeout, entry.NewTargetView(e.host, decodeTarget))
-	go objects.Follow(ctx, source(), evacuationKind, watchTimeout, entry.NewEvacuationView(e.host))
+	go followConfig(ctx, source(), configKind, role.ConfigWatchTimeout(), entry.NewConfigView(e.host, configName, decodeTable))
+	go objects.Follow(ctx, source(), targetKind, role.WatchTimeout(), entry.NewTargetView(e.host, decodeTarget))
+	go objects.Follow(ctx, source(), evacuationKind, role.WatchTimeout(), entry.NewEvacuationView(e.host))
 	go objects.Follow(ctx, slots, history.MapKind, history.MapWatchTimeout, e.historyClient)
 	go e.host.Run(ctx)
 	go e.historyClient.Run(ctx)
--- a/ctl/roles/customers_test.go
+++ b/ctl/roles/customers_test.go
@@ -13,6 +13,7 @@
 	"github.com/pistachioarch/pistachioarch/core/routing"
 	"github.com/pistachioarch/pistachioarch/ctl/standin"
 	"github.com/pistachioarch/pistachioarch/daemon/entry"
+	"github.com/pistachioarch/pistachioarch/daemon/settings"
 	"github.com/pistachioarch/pistachioarch/wire/ownheaders"
 )
 
@@ -38,13 +39,14 @@
 	return c.start(4)
 }
 
-// configWatchTimeout returns the timeout of a watch of the configuration: keyedTimeout, which
-// is shorter, if the delay of key removals is bounded, watchTimeout otherwise.
-func (c *cluster) configWatchTimeout(keyedTimeout time.Duration) time.Duration {
+// role returns the timing of the hosts: with keys, that of a deployment that bounds the delay of
+// key removals to maxRemovalDelay.
+func (c *cluster) role() *settings.Role {
+	set := &settings.Role{ContactWindow: contactWindow, MaxConfigDelay: maxConfigDelay, MaxDrainDelay: maxDrainDelay}
 	if c.requiresKeys {
-		return keyedTimeout
+		set.MaxKeyRemovalDelay = maxRemovalDelay
 	}
-	return watchTimeout
+	return set
 }
 
 // keyRules returns the key rules of a deployment that bounds the delay of key removals to
--- a/ctl/roles/relay_test.go
+++ b/ctl/roles/relay_test.go
@@ -30,6 +30,11 @@
 			c.store.SetPartitioned(h.ip, true)
 		}
 	}},
+	{"platform silent to history hosts", func(c *cluster) {
+		for _, h := range c.historyHosts {
+			c.store.SetSilent(h.ip, true)
+		}
+	}},
 	{"all history hosts frozen", func(c *cluster) {
 		for _, h := range c.historyHosts {
 			c.net.SetFrozen(h.ip, true)
--- a/ctl/standin/objects.go
+++ b/ctl/standin/objects.go
@@ -11,9 +11,15 @@
 	"github.com/pistachioarch/pistachioarch/wire/objects"
 )
 
-// storeLatency is the duration of one call; the stores that users run also take a few
-// milliseconds.
-const storeLatency = 4 * time.Millisecond
+const (
+	// storeLatency is the duration of one call; the stores that users run also take a few
+	// milliseconds.
+	storeLatency = 4 * time.Millisecond
+	// callTimeout is when a client gives up a call without a reply, and watchTimeoutMargin the same
+	// for a watch, in addition to its wait.
+	callTimeout        = 1500 * time.Millisecond
+	watchTimeoutMargin = 300 * time.Millisecond
+)
 
 // Objects is an object store in memory. ViewFrom returns the objects.Store of one host,
 // so that hosts can be partitioned from the store one by one.
@@ -26,6 +32,7 @@
 	changed        chan struct{} // closed and replaced by each change
 	down           bool
 	partitioned    map[string]bool // by IP address of the host
+	silent         map[string]bool // by IP address of the host
 	answersToLose  int             // number of next writes whose answers are lost
 	calls          map[string]int  // by IP address of the host
 }
@@ -39,7 +46,7 @@
 
 // NewObjects returns an empty store.
 func NewObjects() *Objects {
-	return &Objects{kinds: map[string]map[string]objects.Object{}, changed: make(chan struct{}), partitioned: map[string]bool{}, calls: map[string]int{}}
+	return &Objects{kinds: map[string]map[string]objects.Object{}, changed: make(chan struct{}), partitioned: map[string]bool{}, silent: map[string]bool{}, calls: map[string]int{}}
 }
 
 // ViewFrom returns the store as the host with an IP address (without a port) uses it.
@@ -61,6 +68,14 @@
 	s.wakeWatches()
 }
 
+// SetSilent makes the calls of one host go without a reply, also those that wait, or ends that fault.
+func (s *Objects) SetSilent(ip string, silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent[ip] = silent
+	s.wakeWatches()
+}
+
 // Calls returns the number of calls of one host so far.
 func (s *Objects) Calls(ip string) int {
 	s.mu.Lock()
@@ -150,23 +165,32 @@
 	ip    string
 }
 
+// countCall counts a call of the host.
+func (v *storeView) countCall() {
+	v.store.mu.Lock()
+	defer v.store.mu.Unlock()
+	v.store.calls[v.ip]++
+}
+
 // beginCall counts a call, waits for the latency of the store and locks it. It fails
 // while the store is unavailable to the host.
 func (v *storeView) beginCall(ctx context.Context) error {
-	v.store.mu.Lock()
-	v.store.calls[v.ip]++
-	v.store.mu.Unlock()
-	return v.lockAfterLatency(ctx)
+	v.countCall()
+	return v.lockAfterLatency(ctx, time.Now().Add(callTimeout))
 }
 
-// lockAfterLatency is beginCall without the count, for a watch that reads again.
-func (v *storeView) lockAfterLatency(ctx context.Context) error {
-	select {
-	case <-time.After(storeLatency):
-	case <-ctx.Done():
+// lockAfterLatency waits for the latency of the store and locks it. Without a reply, the client gives
+// the call up at its deadline.
+func (v *storeView) lockAfterLatency(ctx context.Context, deadline time.Time) error {
+	if !sleep(ctx, storeLatency) {
 		return failure.Wrap(ctx.Err(), failure.PlatformUnavailable, "store")
 	}
 	v.store.mu.Lock()
+	if v.store.silent[v.ip] {
+		v.store.mu.Unlock()
+		sleep(ctx, time.Until(deadline))
+		return failure.New(failure.PlatformUnavailable, "no reply from the store")
+	}
 	if v.store.down || v.store.partitioned[v.ip] {
 		v.store.mu.Unlock()
 		return failure.New(failure.PlatformUnavailable, "store unavailable")
@@ -262,10 +286,9 @@
 
 func (v *storeView) Watch(ctx context.Context, kind string, revision uint64, maxWait time.Duration) (objects.Changes, error) {
 	sentAt := time.Now()
-	timeout := time.NewTimer(maxWait)
-	defer timeout.Stop()
-	for lock := v.beginCall; ; lock = v.lockAfterLatency {
-		if err := lock(ctx); err != nil {
+	v.countCall()
+	for {
+		if err := v.lockAfterLatency(ctx, sentAt.Add(maxWait+watchTimeoutMargin)); err != nil {
 			return objects.Changes{}, err
 		}
 		if revision < v.store.oldestRevision {
@@ -280,15 +303,25 @@
 		}
 		changed := v.store.changed
 		v.store.mu.Unlock()
-		if len(changes.Events) > 0 {
+		remaining := time.Until(sentAt.Add(maxWait))
+		if len(changes.Events) > 0 || remaining <= 0 {
 			return changes, nil
 		}
-		select {
-		case <-changed:
-		case <-timeout.C:
-			return changes, nil
-		case <-ctx.Done():
-			return objects.Changes{}, failure.Wrap(ctx.Err(), failure.PlatformUnavailable, "watch")
+		if err := awaitChange(ctx, changed, remaining); err != nil {
+			return objects.Changes{}, err
 		}
 	}
 }
+
+// awaitChange waits until changed is closed, but no longer than wait.
+func awaitChange(ctx context.Context, changed <-chan struct{}, wait time.Duration) error {
+	end := time.NewTimer(wait)
+	defer end.Stop()
+	select {
+	case <-changed:
+	case <-end.C:
+	case <-ctx.Done():
+		return failure.Wrap(ctx.Err(), failure.PlatformUnavailable, "watch")
+	}
+	return nil
+}
--- a/daemon/relay/directlimit.go
+++ b/daemon/relay/directlimit.go
@@ -12,8 +12,9 @@
 	// serve the host and not the relays, but most often it is unavailable to all.
 	directRetryInterval = 3 * time.Second
 	// maxFirstDirectDelay bounds the delay before the first of these calls. The delay differs
-	// by host, so that short outages cost no such calls and long ones cause no burst.
-	maxFirstDirectDelay = 1500 * time.Millisecond
+	// by host, so that an outage causes no burst. It is short because the platform may answer
+	// the host, which then must have a change in time; see settings.Role.RelayedWatchTimeout.
+	maxFirstDirectDelay = 250 * time.Millisecond
 )
 
 // directLimiter limits the rate of a host's direct calls to the platform.
--- a/daemon/relay/doc.go
+++ b/daemon/relay/doc.go
@@ -29,6 +29,8 @@
 //
 // A Source is an objects.Reader. It calls a relay, or the platform itself while no relay
 // answers. While relays answer that the platform is unavailable, it calls the platform rarely.
+// After a failure it polls whom it calls next before it watches again: a watch would hide for its
+// whole wait that no reply will come, and changes must reach all hosts in time.
 //
 // Invariant: a Source never returns a list older than a revision that it has
 // returned before.
--- a/daemon/relay/failover.go
+++ b/daemon/relay/failover.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/core/historypb"
 )
@@ -34,7 +36,7 @@
 			reply, err := request(ctx, kind, req, wait)
 			if err == nil || failure.Is(err, failure.HistoryGone) {
 				s.startTimeout = 0
-				s.directLimiter.recordRelayAnswer()
+				s.recordRelayAnswer()
 				return reply, err
 			}
 			if ctx.Err() != nil || !s.shouldRetry(err, awaitPending) {
@@ -73,10 +75,22 @@
 			return reply, callErr
 		}
 		err = mostInformative(err, callErr)
+		req, wait = withoutWait(req), 0 // a relay that cannot serve must not hold the host back either
 	}
 	return nil, err
 }
 
+// withoutWait returns a request that a relay answers at once: the changes so far in place of a watch.
+func withoutWait(req *historypb.Request) *historypb.Request {
+	call, isWatch := req.Call.(*historypb.Request_WatchObjects)
+	if !isWatch {
+		return req
+	}
+	poll := proto.CloneOf(call.WatchObjects)
+	poll.WaitMs = 0
+	return &historypb.Request{Call: &historypb.Request_WatchObjects{WatchObjects: poll}}
+}
+
 // mostInformative returns the failure that says most about what to expect from the relays:
 // ListPending, then PlatformUnavailable, and b where neither failure is one of these.
 func mostInformative(a, b error) error {
--- a/daemon/relay/source.go
+++ b/daemon/relay/source.go
@@ -66,6 +66,9 @@
 	// currentRelay is the relay in use, nil for the platform; other goroutines read it too.
 	currentRelay  atomic.Pointer[string]
 	directLimiter directLimiter
+	// directAnswered reports that the platform answered the last direct call, and no relay has
+	// answered since.
+	directAnswered bool
 	// subset is set if the host holds a subset of the kind, deltaBases if it holds all objects.
 	subset     *hostSubset
 	deltaBases *deltaBases
@@ -109,7 +112,7 @@
 	snapshot, err := s.listFromRelay(ctx, &historypb.ListObjects{Kind: kind, Revision: s.lastRevision})
 	if err != nil && s.directLimiter.allows(err, s.lastRevision == 0 || s.peers.IsRelay()) {
 		snapshot, err = s.platform.List(ctx, kind)
-		s.directLimiter.recordResult(err)
+		s.recordDirectResult(err)
 		snapshot = s.subset.filterList(snapshot)
 	}
 	if err != nil && s.lastRevision == 0 {
@@ -143,11 +146,8 @@
 		changes = s.subset.applyRelayChanges(changes, halvings)
 	}
 	if err != nil && !failure.Is(err, failure.HistoryGone) && s.directLimiter.allows(err, s.peers.IsRelay()) {
-		if !s.peers.IsRelay() {
-			wait = min(wait, relayRetryDelay)
-		}
-		changes, err = s.platform.Watch(ctx, kind, revision, wait)
-		s.directLimiter.recordResult(err)
+		changes, err = s.platform.Watch(ctx, kind, revision, s.directWait(wait))
+		s.recordDirectResult(err)
 		changes = s.subset.filterChanges(changes)
 		s.deltaBases.recordChanges(changes)
 	}
@@ -155,6 +155,35 @@
 	return changes, err
 }
 
+// pollWait is the wait of a watch that only asks for the changes so far.
+const pollWait = time.Millisecond
+
+// directWait returns the wait of the next watch made directly at the platform. After a failure or a
+// relay it only polls: a watch that waits would hide for its whole wait that the platform does not
+// answer this host either.
+func (s *Source) directWait(wait time.Duration) time.Duration {
+	switch {
+	case !s.directAnswered:
+		return pollWait
+	case s.peers.IsRelay():
+		return wait
+	default:
+		return min(wait, relayRetryDelay)
+	}
+}
+
+// recordDirectResult records the result of a direct call to the platform.
+func (s *Source) recordDirectResult(err error) {
+	s.directAnswered = err == nil
+	s.directLimiter.recordResult(err)
+}
+
+// recordRelayAnswer records that a relay answered.
+func (s *Source) recordRelayAnswer() {
+	s.directAnswered = false
+	s.directLimiter.recordRelayAnswer()
+}
+
 // decodeChange decodes a change; see deltaBases.decodeChange.
 func (s *Source) decodeChange(o *historypb.Object) (objects.Event, error) {
 	e, err := s.deltaBases.decodeChange(o)
--- a/daemon/settings/reload.go
+++ b/daemon/settings/reload.go
@@ -39,6 +39,8 @@
 	requireRestart(&out, "faults.hosts", r.ToleratedHostFaults, next.ToleratedHostFaults)
 	requireRestart(&out, "timing.grace_s", r.GracePeriod, next.GracePeriod)
 	requireRestart(&out, "timing.contact_ms", r.ContactWindow, next.ContactWindow)
+	requireRestart(&out, "timing.config_ms", r.MaxConfigDelay, next.MaxConfigDelay)
+	requireRestart(&out, "timing.drain_ms", r.MaxDrainDelay, next.MaxDrainDelay)
 	requireRestart(&out, "keys.removal_ms", r.MaxKeyRemovalDelay, next.MaxKeyRemovalDelay)
 	requireRestart(&out, "evacuations.bound_ms", r.MaxEvacuationDelay, next.MaxEvacuationDelay)
 	requireRestart(&out, "quotas.window_s", r.QuotaWindow, next.QuotaWindow)
--- a/daemon/settings/role.go
+++ b/daemon/settings/role.go
@@ -41,6 +41,9 @@
 	// ContactWindow is the time for which the platform must have answered without errors. Only
 	// after it must the platform's changes be in force within their bounds.
 	ContactWindow time.Duration
+	// MaxConfigDelay and MaxDrainDelay are the times after their acknowledgement by the platform
+	// within which a configuration is in force, and a draining target gets no more requests.
+	MaxConfigDelay, MaxDrainDelay time.Duration
 	// MaxKeyRemovalDelay is the time after which no host accepts a removed key, even if it cannot
 	// reach the platform; 0 if only hosts that reach the platform must apply the removal.
 	MaxKeyRemovalDelay time.Duration
@@ -76,6 +79,19 @@
 	return max(minWatchTimeout, r.ContactWindow-watchTimeoutMargin)
 }
 
+// relayedWatchFraction is the timeout of a relay's watch as a fraction of the shortest time within
+// which a change must be in force. The rest covers a watch to which the platform never replies: it is
+// abandoned (0.3 s), the next relay finds that the platform does not reply to it either (0.3 s), and
+// the other hosts read the change themselves.
+const relayedWatchFraction = 0.4
+
+// RelayedWatchTimeout returns how long one watch of the platform by a relay may wait. The other
+// hosts are in contact with the platform while a relay is not, and must have its changes in time.
+func (r *Role) RelayedWatchTimeout() time.Duration {
+	bounded := fractionOf(relayedWatchFraction, min(r.MaxConfigDelay, r.MaxDrainDelay))
+	return min(r.WatchTimeout(), max(minWatchTimeout, bounded))
+}
+
 // maxKeyRemovalDelay reads the bound on the removal of keys; 0 unless removal_strict is true.
 func (r *reader) maxKeyRemovalDelay() time.Duration {
 	const section, key = "keys", "removal_ms"
@@ -96,11 +112,11 @@
 	// watches that receive nothing for a second while the platform discards its change history: a
 	// configuration that such a watch confirms may be older by that second than its stated age.
 	keyMaxAgeFraction = 0.8
-	// relayedWatchFraction and configWatchFraction are the timeouts of the relays' and of the other
+	// relayedKeyWatchFraction and keyWatchFraction are the timeouts of the relays' and of the other
 	// hosts' watches of the configuration, as fractions of MaxKeyRemovalDelay. Answers are passed
 	// on as they arrive, so that without failures a host's confirmation is at most about three
 	// relay timeouts old.
-	relayedWatchFraction, configWatchFraction = 0.06, 0.12
+	relayedKeyWatchFraction, keyWatchFraction = 0.06, 0.12
 	// unknownKeyAgeFraction is the maximum age of a host's configuration for rejecting a key as
 	// unknown, as a fraction of MaxKeyRemovalDelay.
 	unknownKeyAgeFraction = 0.4
@@ -129,21 +145,21 @@
 
 // RelayedConfigWatchTimeout returns how long one watch of the configuration by a relay may wait.
 func (r *Role) RelayedConfigWatchTimeout() time.Duration {
-	return r.boundedWatchTimeout(relayedWatchFraction)
+	return r.boundedWatchTimeout(r.RelayedWatchTimeout(), relayedKeyWatchFraction)
 }
 
 // ConfigWatchTimeout returns how long one watch of the configuration by any other host may wait.
 func (r *Role) ConfigWatchTimeout() time.Duration {
-	return r.boundedWatchTimeout(configWatchFraction)
+	return r.boundedWatchTimeout(r.WatchTimeout(), keyWatchFraction)
 }
 
-// boundedWatchTimeout returns a watch timeout short enough that confirmations without changes
-// arrive within their fraction of MaxKeyRemovalDelay.
-func (r *Role) boundedWatchTimeout(fraction float64) time.Duration {
+// boundedWatchTimeout returns a watch timeout of at most longest, and short enough that confirmations
+// without changes arrive within their fraction of MaxKeyRemovalDelay.
+func (r *Role) boundedWatchTimeout(longest time.Duration, fraction float64) time.Duration {
 	if r.MaxKeyRemovalDelay == 0 {
-		return r.WatchTimeout()
+		return longest
 	}
-	return min(r.WatchTimeout(), max(minKeyWatchTimeout, fractionOf(fraction, r.MaxKeyRemovalDelay)))
+	return min(longest, max(minKeyWatchTimeout, fractionOf(fraction, r.MaxKeyRemovalDelay)))
 }
 
 // HistoryListen returns the address on which this host, as a history host, listens.
@@ -193,6 +209,8 @@
 		ToleratedHostFaults: int(r.integer("faults", "hosts", 1, 0, 16)),
 		GracePeriod:         r.milliseconds("timing", "grace_s", 1000, 8000),
 		ContactWindow:       r.milliseconds("timing", "contact_ms", 1, 3000),
+		MaxConfigDelay:      r.milliseconds("timing", "config_ms", 1, 2000),
+		MaxDrainDelay:       r.milliseconds("timing", "drain_ms", 1, 2000),
 		MaxKeyRemovalDelay:  r.maxKeyRemovalDelay(),
 		MaxEvacuationDelay:  r.milliseconds("evacuations", "bound_ms", 1, 0),
 		QuotaWindow:         r.milliseconds("quotas", "window_s", 1000, 0),
--- a/daemon/settings/role_test.go
+++ b/daemon/settings/role_test.go
@@ -36,6 +36,8 @@
 [timing]
 grace_s = 8.0
 contact_ms = 4000
+config_ms = 2500
+drain_ms = 1500
 [keys]
 removal_strict = true
 removal_ms = 5000
@@ -56,6 +58,7 @@
 	require.Equal(t, map[string]string{"dc1": "north", "dc2": "south"}, r.Regions)
 	require.Equal(t, 8*time.Second, r.GracePeriod)
 	require.Equal(t, 3300*time.Millisecond, r.WatchTimeout())
+	require.Equal(t, 600*time.Millisecond, r.RelayedWatchTimeout(), "a fraction of the shorter of config_ms and drain_ms")
 	require.EqualValues(t, 134<<20, r.MemoryBytes)
 	require.Equal(t, 2, r.ToleratedHostFaults)
 	require.Equal(t, 4*time.Second, r.KeyMaxAge())
@@ -86,6 +89,8 @@
 [timing]
 grace_s = -1
 contact_ms = NaN
+config_ms = 0
+drain_ms = soon
 wait = 5
 `))
 	var invalid InvalidSettings
@@ -97,7 +102,7 @@
 	}
 	require.ElementsMatch(t, []string{
 		"host.name", "listen.address", "listen.callers", "listen.first_internal_port", "platform.address",
-		"limits.memory_mb", "loads.exchange", "timing.grace_s", "timing.contact_ms", "timing.wait",
+		"limits.memory_mb", "loads.exchange", "timing.grace_s", "timing.contact_ms", "timing.config_ms", "timing.drain_ms", "timing.wait",
 	}, keys)
 }
 
@@ -152,7 +157,7 @@
 		require.NoError(t, err)
 		require.Zero(t, r.KeyMaxAge())
 		require.Equal(t, r.WatchTimeout(), r.ConfigWatchTimeout())
-		require.Equal(t, r.WatchTimeout(), r.RelayedConfigWatchTimeout())
+		require.Equal(t, r.RelayedWatchTimeout(), r.RelayedConfigWatchTimeout())
 		require.Zero(t, r.QuotaWindow)
 	}
 	for old, bad := range map[string]string{"removal_ms = 5000": "removal_ms =", "slack = 20": "slack = -1", "overage = 0.1": "overage = NaN"} {
