entry, platform: software versions of targets and taken-up streams are read and logged

The logs could not tell which of the hypotheses holds: a target's version was decoded and dropped, and a caller that takes its stream up left no trace.

Change: the version is part of a target's description and of the lines 'request routed' and 'stream resumed'; the attempt that a caller names in Resumes is decoded, and a stream that is taken up is counted and logged. No logic changes.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -31,6 +31,9 @@
 	Address     string
 	DataCentre  string
 	Capacity    int
+	// SoftwareVersion is the version of the target's software; empty if it is not known. Targets of
+	// several versions may serve side by side in one service.
+	SoftwareVersion string
 	// Draining targets get no new requests.
 	Draining bool
 	// ColdFor is how much longer after its start the target accepts only a limited request rate;
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -37,6 +37,9 @@
 	PreviousTurn string
 	// LastEventID is the last event that the caller received of an interrupted stream.
 	LastEventID string
+	// Resumes is the ID of the attempt that brought the first event of that stream; empty if it is
+	// not stated.
+	Resumes string
 	// Affinity names the object that the request concerns.
 	Affinity string
 	Model    string
--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -121,7 +121,7 @@
 	x.targetID, x.targetStartedAtMs, x.targetLoad, x.uncachedTokens = target.ID, target.StartedAtMs, float64(choice.Load)/float64(max(1, choice.Capacity)), choice.UncachedTokens
 	h.Meter.Count("sends", x.serviceKind(), x.distance(target))
 	h.Log.Info("request routed", "request", x.call.ID, "program", x.call.Program, "customer", x.customerName(), "route", x.route.Name, "config", x.table.Version,
-		"target", target.ID, "data_centre", target.DataCentre, "load", choice.Load, "places", choice.Capacity, "report_age_ms", choice.ReportAge.Milliseconds(),
+		"target", target.ID, "software", target.SoftwareVersion, "data_centre", target.DataCentre, "load", choice.Load, "places", choice.Capacity, "report_age_ms", choice.ReportAge.Milliseconds(),
 		"slowdown", roundHundredths(choice.Slowdown), "predicted_ms", choice.Predicted.Milliseconds(), "near", choice.NearTarget, "near_predicted_ms", choice.NearPredicted.Milliseconds(),
 		"prompt", x.call.PromptTokens, "missing", choice.UncachedTokens, "candidates", choice.Candidates, "send", x.sendCount+1,
 		"left_ms", time.Until(x.deadline).Milliseconds(), "program_left_ms", x.remainingProgramTime().Milliseconds(), "after_ms", time.Since(x.startedAt).Milliseconds())
--- a/daemon/entry/handle.go
+++ b/daemon/entry/handle.go
@@ -107,6 +107,7 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(x.r.Context(), x.deadline, context.DeadlineExceeded)
 	defer cancel()
+	x.logTakeUp()
 	x.awaitConfirmation(ctx)
 	if err := x.authorise(); err != nil {
 		return err
--- a/daemon/entry/stream.go
+++ b/daemon/entry/stream.go
@@ -13,6 +13,15 @@
 	"github.com/pistachioarch/pistachioarch/wire/targetpool"
 )
 
+// logTakeUp logs a request that takes up an interrupted stream.
+func (x *exchange) logTakeUp() {
+	if x.call.LastEventID == "" {
+		return
+	}
+	x.host.Meter.Count("streams", "taken_up")
+	x.host.Log.Info("stream taken up", "request", x.call.ID, "resumes", x.call.Resumes, "after_event", x.call.LastEventID)
+}
+
 // deliverStream forwards events to the caller as they arrive. A stream that ends early is resumed
 // at other targets if the route allows it.
 func (x *exchange) deliverStream(ctx context.Context, t balance.TargetInfo, resp *targetpool.Response) (retry bool, err error) {
@@ -123,7 +132,7 @@
 			return balance.TargetInfo{}, nil, nil, err
 		}
 		x.host.Meter.Count("streams", "resumed")
-		x.host.Log.Info("stream resumed", "request", x.call.ID, "target", t.ID, "after_event", lastEventID)
+		x.host.Log.Info("stream resumed", "request", x.call.ID, "target", t.ID, "software", t.SoftwareVersion, "after_event", lastEventID)
 		guarded, release := x.host.reachability.guard(ctx, t)
 		resp, err := x.send(guarded, t, lastEventID)
 		if err != nil {
--- a/wire/ownheaders/ownheaders.go
+++ b/wire/ownheaders/ownheaders.go
@@ -22,6 +22,7 @@
 	Prompt     = "Pistachio-Prompt-Tokens"
 	Timeout    = "Pistachio-Left"
 	LastEvent  = "Last-Event-Id"
+	Resumes    = "Pistachio-Resumes"
 	Target     = "Pistachio-Target"
 	NotRun     = "Pistachio-Not-Run"
 	Signature  = "Pistachio-Signature"
@@ -35,7 +36,7 @@
 
 // Call decodes the headers of a caller's request. The failure is of kind BadRequest.
 func (Headers) Call(h http.Header) (request.Call, error) {
-	c := request.Call{ID: h.Get(ID), Program: h.Get(Program), PreviousTurn: h.Get(Previous), LastEventID: h.Get(LastEvent), CustomerKey: h.Get(Key)}
+	c := request.Call{ID: h.Get(ID), Program: h.Get(Program), PreviousTurn: h.Get(Previous), LastEventID: h.Get(LastEvent), Resumes: h.Get(Resumes), CustomerKey: h.Get(Key)}
 	if c.ID == "" {
 		return c, failure.New(failure.BadRequest, "header %s is missing", ID)
 	}
