--- a/daemon/entry/harness_test.go
+++ b/daemon/entry/harness_test.go
@@ -143,6 +143,7 @@
 	server  *httptest.Server
 	history *quorum.Client
 	members []*member
+	slotMap *placement.Map
 	// aged makes the history hosts appear a day old, so that they hold all tokens of quotas.
 	aged atomic.Bool
 }
@@ -241,6 +242,7 @@
 
 // adopt gives the slot map m to the history hosts and to the client.
 func (s *testSystem) adopt(m *placement.Map) {
+	s.slotMap = m
 	for _, x := range s.members {
 		require.NoError(s.t, x.server.Adopt(m))
 	}
--- /dev/null
+++ b/daemon/entry/resume_test.go
@@ -0,0 +1,130 @@
+package entry
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachioarch/pistachioarch/core/balance"
+	"github.com/pistachioarch/pistachioarch/daemon/quorum"
+	"github.com/pistachioarch/pistachioarch/wire/ownheaders"
+)
+
+// streamsPerTest is the number of streams of each test, so that every target is chosen several times.
+const streamsPerTest = 24
+
+// breakThenResume breaks a new stream off after its second event and ends one that continues.
+func breakThenResume(_ int, r received, id string) (string, bool) {
+	if r.LastEvent == "" {
+		return streamHead(id) + eventChunks(1, "a", "b") + "5\r\nid: 3", true
+	}
+	return okStream(id, 3, "c"), false
+}
+
+// versionedTargets starts targets that break streams off, and returns them by ID with their versions.
+func versionedTargets(t *testing.T, versions ...string) (targets []*fakeTarget, versionOf map[string]string) {
+	versionOf = map[string]string{}
+	for i, version := range versions {
+		id := "t" + strconv.Itoa(i)
+		targets = append(targets, newFakeTarget(t, id, breakThenResume))
+		versionOf[id] = version
+	}
+	return targets, versionOf
+}
+
+// list makes a host know targets with their versions.
+func list(h *Host, versionOf map[string]string, targets ...*fakeTarget) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, x := range targets {
+		h.registry.SetTarget(balance.TargetInfo{ID: x.id, Service: "s", Address: x.listener.Addr().String(), DataCentre: "dc1", Capacity: 4, SoftwareVersion: versionOf[x.id]})
+	}
+}
+
+// versionsOfStreams returns the versions of the targets at which the stream of each program ran. Every
+// stream has a program of its own, whose name is the body of its requests.
+func versionsOfStreams(versionOf map[string]string, targets ...*fakeTarget) map[string]map[string]bool {
+	versions := map[string]map[string]bool{}
+	for _, x := range targets {
+		for _, r := range x.requests() {
+			if versions[r.Body] == nil {
+				versions[r.Body] = map[string]bool{}
+			}
+			versions[r.Body][versionOf[x.id]] = true
+		}
+	}
+	return versions
+}
+
+// postStream sends the n-th attempt of a program's stream to a host.
+func (s *testSystem) postStream(program string, n int, headers ...string) answer {
+	id := program + "-" + strconv.Itoa(n)
+	return s.post("/quick/", program, append(headers, ownheaders.ID, id, ownheaders.Program, program, ownheaders.Budget, "100", ownheaders.MaxTokens, "12")...)
+}
+
+// addHost replaces the entry host of the system by another one, which shares only the history hosts
+// with it.
+func (s *testSystem) addHost() {
+	client := quorum.New(&net.Dialer{}, "dc1", discardLog(), nil)
+	client.SetTimeouts(memberTimeout)
+	next := New(Options{Headers: ownheaders.Headers{}, History: client, Dialer: &net.Dialer{}, DataCentre: "dc1", ReadyPath: "/ready", Log: discardLog(), HistoryTimeout: harnessTimeout})
+	next.SetTable(s.host.table.Load())
+	s.history, s.host = client, next
+	s.adopt(s.slotMap)
+	s.server = httptest.NewServer(next)
+	s.t.Cleanup(s.server.Close)
+}
+
+// A stream that its target breaks off must not continue at another software version.
+func TestBrokenStreamContinuesAtItsSoftwareVersion(t *testing.T) {
+	targets, versionOf := versionedTargets(t, "v1", "v1", "v2", "v2")
+	s := newSystem(t)
+	list(s.host, versionOf, targets...)
+	for n := range streamsPerTest {
+		got := s.postStream("p"+strconv.Itoa(n), 1)
+		require.NoError(t, got.err)
+		require.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n", got.body)
+	}
+	for program, versions := range versionsOfStreams(versionOf, targets...) {
+		require.Len(t, versions, 1, program)
+	}
+}
+
+// A stream that a caller takes up, at any host, must not continue at another software version than
+// that of the attempt that began it.
+func TestTakenUpStreamContinuesAtItsSoftwareVersion(t *testing.T) {
+	targets, versionOf := versionedTargets(t, "v1", "v2", "v1", "v2")
+	s := newSystem(t)
+	list(s.host, versionOf, targets[:2]...)
+	for n := range streamsPerTest {
+		require.Error(t, s.postStream("p"+strconv.Itoa(n), 1).err, "no other target of the version")
+	}
+	s.addHost()
+	list(s.host, versionOf, targets...)
+	for n := range streamsPerTest {
+		program := "p" + strconv.Itoa(n)
+		got := s.postStream(program, 2, ownheaders.LastEvent, "2", ownheaders.Resumes, program+"-1")
+		require.Equal(t, http.StatusOK, got.status)
+		require.Equal(t, "id: 3\ndata: c\n\n", got.body)
+	}
+	for program, versions := range versionsOfStreams(versionOf, targets...) {
+		require.Len(t, versions, 1, program)
+	}
+}
+
+// A stream whose software version is gone cannot continue: no target may run it.
+func TestTakenUpStreamIsRefusedWithoutItsSoftwareVersion(t *testing.T) {
+	targets, versionOf := versionedTargets(t, "v1", "v2")
+	s := newSystem(t)
+	list(s.host, versionOf, targets[0])
+	require.Error(t, s.postStream("p", 1).err)
+	s.addHost()
+	list(s.host, versionOf, targets[1])
+	got := s.postStream("p", 2, ownheaders.LastEvent, "2", ownheaders.Resumes, "p-1")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Empty(t, targets[1].requests())
+}
