daemon/entry, core/balance: a broken stream continues only at its software version

Cause: a stream that its target breaks off is sent with the last event's id to the best other target of the service; which software that target runs did not enter the choice. Class: a choice among targets taken for equal that are not.

Change: from the first event on the exchange asks the registry only for targets of the version that made it; without one the stream is broken off, and its caller may take it up. A stream without any event may go to every version.

Evidence: TestBrokenStreamContinuesAtItsSoftwareVersion was red (events of v1 and v2 in one answer), passes now.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -327,6 +327,17 @@
 	Allowed map[string]bool
 	// DataCentres holds the data centres whose targets may be chosen.
 	DataCentres DataCentreSet
+	// SoftwareVersion is the software version that the target must have; if empty, any.
+	SoftwareVersion string
+}
+
+// allows reports whether the target may be chosen, if it is usable.
+func (q *Query) allows(t *Target) bool {
+	switch {
+	case q.Exclude[t.ID], len(q.Allowed) > 0 && !q.Allowed[t.ID], !q.DataCentres.has(t.DataCentre):
+		return false
+	}
+	return q.SoftwareVersion == "" || q.SoftwareVersion == t.SoftwareVersion
 }
 
 // DataCentreSet is a set of data centres; nil contains all of them.
@@ -365,7 +376,7 @@
 	s := r.serviceNamed(q.Service)
 	sel := r.newSelection(s, q, now)
 	for _, t := range s.targets {
-		if q.Exclude[t.ID] || len(q.Allowed) > 0 && !q.Allowed[t.ID] || !q.DataCentres.has(t.DataCentre) || t.unusableReason(now) != "" {
+		if !q.allows(t) || t.unusableReason(now) != "" {
 			continue
 		}
 		candidates++
--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -105,6 +105,7 @@
 	decision := h.dispatch.Decide(dispatch.Request{
 		Query: balance.Query{
 			Service: x.service, WorkKind: x.route.Name, Parts: x.call.Prefix, PromptTokens: x.call.PromptTokens, Exclude: x.tried, Allowed: x.capacityWait.retryTargets(), DataCentres: x.allowedDataCentres(),
+			SoftwareVersion: x.softwareVersion,
 		},
 		ProgramStarted: !x.startsProgram() || x.sendCount > 0, Draw: x.draw(),
 	}, h.now())
--- a/daemon/entry/handle.go
+++ b/daemon/entry/handle.go
@@ -49,6 +49,9 @@
 	targetID       string
 	// targetStartedAtMs identifies the incarnation of the target that got the request.
 	targetStartedAtMs int64
+	// softwareVersion is the software version of the targets to which the stream may be sent;
+	// empty for any.
+	softwareVersion string
 	// sentAt is when the request was sent to the target, and firstSentAt the same for the
 	// first send of a hedged call. targetLoad is the target's load at that time, as a
 	// fraction of its capacity, and uncachedTokens the part of the prompt, in tokens, that
--- a/daemon/entry/stream.go
+++ b/daemon/entry/stream.go
@@ -27,7 +27,7 @@
 func (x *exchange) deliverStream(ctx context.Context, t balance.TargetInfo, resp *targetpool.Response) (retry bool, err error) {
 	lastEventID := x.call.LastEventID
 	for {
-		err = x.deliverEvents(ctx, resp, &lastEventID)
+		err = x.deliverEvents(ctx, t, resp, &lastEventID)
 		if err == nil {
 			x.recordOutcome(t.ID, balance.Served)
 			return false, x.finishStream(ctx, resp)
@@ -70,9 +70,9 @@
 	return nil
 }
 
-// deliverEvents forwards whole events until the stream ends, and sets lastEventID to the ID of
-// the last one forwarded.
-func (x *exchange) deliverEvents(ctx context.Context, resp *targetpool.Response, lastEventID *string) error {
+// deliverEvents forwards whole events of a target until the stream ends, and sets lastEventID to the
+// ID of the last one forwarded.
+func (x *exchange) deliverEvents(ctx context.Context, t balance.TargetInfo, resp *targetpool.Response, lastEventID *string) error {
 	controller := http.NewResponseController(x.w)
 	events := &eventReader{source: resp.Body, reserve: x.reserveFunc(ctx, held.Events)}
 	defer func() { x.held.release(held.Events, events.reserved) }()
@@ -85,6 +85,7 @@
 		if err != nil {
 			return err
 		}
+		x.softwareVersion = t.SoftwareVersion // another version could not continue after this event
 		x.writeHead(resp)
 		x.host.reachability.recordHeard(x.targetID)
 		now := time.Now()
