daemon/entry, core/ledger: a taken-up stream continues only at the software version that began it

Cause: the host that takes the new attempt knows nothing of the attempt that began the stream. Class: a fact that only one host knew, needed by another one.

Change: the software version of a resumable stream is kept with the program's budget at the history hosts, by attempt. Where all targets of the service that a host knows have one version, the turn's reservation carries it and binds the stream, at no cost. A caller's Resumes names the attempt; a stream whose version has no usable target, or whose version is not known while there are several, is refused with 503 and a Retry-After, not run. The version of a turn never changes, merges in any order, is part of the digest that replicas compare and of brief settlements.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -228,6 +228,17 @@
 	return list
 }
 
+// SoftwareVersions returns the known software versions of the targets of a service, each once.
+func (r *Registry) SoftwareVersions(service string) []string {
+	var versions []string
+	for _, t := range r.serviceNamed(service).targets {
+		if t.SoftwareVersion != "" && !slices.Contains(versions, t.SoftwareVersion) {
+			versions = append(versions, t.SoftwareVersion)
+		}
+	}
+	return versions
+}
+
 // Size returns the number of targets.
 func (r *Registry) Size() int { return len(r.targets) }
 
--- a/core/ledger/digest.go
+++ b/core/ledger/digest.go
@@ -29,6 +29,9 @@
 		if s.settled {
 			state = 2
 		}
+		if s.softwareVersion != "" {
+			sum += mix(hashString(turn) ^ hashString(s.softwareVersion))
+		}
 		sum += mix(hashString(turn) ^ mix(uint64(s.tokens)<<2|state))
 	}
 	for turn := range p.turnIDs {
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -22,6 +22,9 @@
 	settled bool
 	// run says which target ran the turn's prompt, nil if that is not known.
 	run *historypb.Ran
+	// softwareVersion is the software version of the targets that made the turn's events, empty if
+	// it is not known. It never changes once it is known.
+	softwareVersion string
 }
 
 // program is the state of one program.
@@ -60,15 +63,20 @@
 	p.expiresMs = max(p.expiresMs, r.ExpiresMs)
 	switch c := r.Change.(type) {
 	case *historypb.Record_Reserve:
-		if _, known := p.spendings[c.Reserve.Turn]; !known {
-			p.spendings[c.Reserve.Turn] = spending{tokens: c.Reserve.Tokens}
+		s, known := p.spendings[c.Reserve.Turn]
+		if !known {
+			s.tokens = c.Reserve.Tokens
 		}
+		s.softwareVersion = max(s.softwareVersion, c.Reserve.SoftwareVersion)
+		p.spendings[c.Reserve.Turn] = s
 	case *historypb.Record_Settle:
-		run := c.Settle.Ran
-		if run == nil {
-			run = p.spendings[c.Settle.Turn].run // brief settlements omit the run
+		previous := p.spendings[c.Settle.Turn]
+		s := spending{tokens: c.Settle.Tokens, settled: true, run: c.Settle.Ran}
+		if s.run == nil {
+			s.run = previous.run // brief settlements omit the run
 		}
-		p.spendings[c.Settle.Turn] = spending{tokens: c.Settle.Tokens, settled: true, run: run}
+		s.softwareVersion = max(previous.softwareVersion, c.Settle.SoftwareVersion)
+		p.spendings[c.Settle.Turn] = s
 	case *historypb.Record_Turn:
 		l.retainTurn(p, c.Turn)
 	}
@@ -124,7 +132,7 @@
 	}
 	list := make([]*historypb.Spending, 0, len(p.spendings))
 	for turn, s := range p.spendings {
-		list = append(list, &historypb.Spending{Turn: turn, Tokens: s.tokens, Settled: s.settled})
+		list = append(list, &historypb.Spending{Turn: turn, Tokens: s.tokens, Settled: s.settled, SoftwareVersion: s.softwareVersion})
 	}
 	return list
 }
@@ -206,9 +214,9 @@
 	for turn, s := range p.spendings {
 		r := &historypb.Record{Slot: p.slot, Program: name, ExpiresMs: p.expiresMs}
 		if s.settled {
-			r.Change = &historypb.Record_Settle{Settle: &historypb.Settle{Turn: turn, Tokens: s.tokens, Ran: s.run}}
+			r.Change = &historypb.Record_Settle{Settle: &historypb.Settle{Turn: turn, Tokens: s.tokens, Ran: s.run, SoftwareVersion: s.softwareVersion}}
 		} else {
-			r.Change = &historypb.Record_Reserve{Reserve: &historypb.Reserve{Turn: turn, Tokens: s.tokens}}
+			r.Change = &historypb.Record_Reserve{Reserve: &historypb.Reserve{Turn: turn, Tokens: s.tokens, SoftwareVersion: s.softwareVersion}}
 		}
 		list = append(list, r)
 	}
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -57,6 +57,43 @@
 	}
 }
 
+// The software version of a turn must survive any order of its records, a brief settlement and a copy: a
+// stream that continues elsewhere would otherwise go to another version.
+func TestSoftwareVersionMergesInAnyOrder(t *testing.T) {
+	withVersion := reserve("p", "a", 50)
+	withVersion.GetReserve().SoftwareVersion = "v1"
+	settled := settle("p", "b", 12)
+	settled.GetSettle().SoftwareVersion = "v2"
+	records := []*historypb.Record{reserve("p", "a", 50), withVersion, settle("p", "a", 3), reserve("p", "b", 50), settled}
+	rng := rand.New(rand.NewPCG(3, 4))
+	for range 200 {
+		l, replica := New(), New()
+		for _, i := range rng.Perm(len(records)) {
+			l.Apply(records[i])
+		}
+		for _, r := range l.ProgramRecords("p") {
+			replica.Apply(r)
+		}
+		u := usage(replica, "p")
+		u.Merge([]*historypb.Spending{{Turn: "a", Tokens: 3, Settled: true}}) // of a replica that does not know it
+		require.Equal(t, "v1", u.SoftwareVersion("a"))
+		require.Equal(t, "v2", u.SoftwareVersion("b"))
+		require.Empty(t, u.OnlySoftwareVersion())
+		require.EqualValues(t, 15, u.TokensExcluding("x"))
+		require.Equal(t, l.Digest("p"), replica.Digest("p"))
+	}
+}
+
+// A replica that lacks the software version of a turn must be seen to differ.
+func TestDigestDependsOnSoftwareVersion(t *testing.T) {
+	l, other := New(), New()
+	l.Apply(reserve("p", "a", 50))
+	withVersion := reserve("p", "a", 50)
+	withVersion.GetReserve().SoftwareVersion = "v1"
+	other.Apply(withVersion)
+	require.NotEqual(t, l.Digest("p"), other.Digest("p"))
+}
+
 func TestChainStopsAtMissingTurn(t *testing.T) {
 	l := New()
 	l.Apply(finishedTurn("p", "b", "a"))
--- a/core/ledger/usage.go
+++ b/core/ledger/usage.go
@@ -8,19 +8,42 @@
 	spendingByTurn map[string]spending
 }
 
-// Merge adds the spendings that one replica holds. A settlement supersedes a reservation.
+// Merge adds the spendings that one replica holds. A settlement supersedes a reservation; the
+// software version of a turn is known if any replica knows it.
 func (u *Usage) Merge(spendings []*historypb.Spending) {
 	if u.spendingByTurn == nil {
 		u.spendingByTurn = make(map[string]spending, len(spendings))
 	}
 	for _, s := range spendings {
-		if existing, known := u.spendingByTurn[s.Turn]; known && (existing.settled || !s.Settled) {
-			continue
+		merged, known := u.spendingByTurn[s.Turn]
+		if !known || s.Settled && !merged.settled {
+			merged.tokens, merged.settled = s.Tokens, s.Settled
 		}
-		u.spendingByTurn[s.Turn] = spending{tokens: s.Tokens, settled: s.Settled}
+		merged.softwareVersion = max(merged.softwareVersion, s.SoftwareVersion)
+		u.spendingByTurn[s.Turn] = merged
 	}
 }
 
+// SoftwareVersion returns the software version of the targets that made the events of a turn; empty if
+// it is not known.
+func (u *Usage) SoftwareVersion(turn string) string { return u.spendingByTurn[turn].softwareVersion }
+
+// OnlySoftwareVersion returns the software version of all turns of which it is known; empty if they
+// differ or none is known.
+func (u *Usage) OnlySoftwareVersion() string {
+	only := ""
+	for _, s := range u.spendingByTurn {
+		switch {
+		case s.softwareVersion == "":
+		case only == "":
+			only = s.softwareVersion
+		case only != s.softwareVersion:
+			return ""
+		}
+	}
+	return only
+}
+
 // TokensExcluding returns the tokens used and reserved by all turns other than turn.
 func (u *Usage) TokensExcluding(turn string) int64 {
 	total := int64(0)
--- a/daemon/entry/handle.go
+++ b/daemon/entry/handle.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/core/ledger"
 	"github.com/pistachioarch/pistachioarch/core/request"
 	"github.com/pistachioarch/pistachioarch/core/routing"
 )
@@ -50,7 +51,7 @@
 	// targetStartedAtMs identifies the incarnation of the target that got the request.
 	targetStartedAtMs int64
 	// softwareVersion is the software version of the targets to which the stream may be sent;
-	// empty for any.
+	// empty for any. It does not change once it is set.
 	softwareVersion string
 	// sentAt is when the request was sent to the target, and firstSentAt the same for the
 	// first send of a hedged call. targetLoad is the target's load at that time, as a
@@ -118,6 +119,9 @@
 	if x.isTurn() {
 		return x.serveTurn(ctx)
 	}
+	if err := x.bindTakenUpStream(&ledger.Usage{}); err != nil {
+		return err
+	}
 	if err := x.awaitQuotaToken(ctx); err != nil {
 		return err
 	}
--- a/daemon/entry/resume_test.go
+++ b/daemon/entry/resume_test.go
@@ -97,15 +97,11 @@
 	}
 }
 
-// beginStreams begins the streams of all programs at once, so that they are spread over the targets, and
-// then leaves them.
+// beginStreams begins the streams of all programs at once, so that they are spread over the targets.
+// They stay open until the end of the test, as if their host had stopped without a trace.
 func (s *testSystem) beginStreams() {
-	var all []context.CancelFunc
 	for n := range streamsPerTest {
-		all = append(all, s.beginStream("p"+strconv.Itoa(n)))
-	}
-	for _, leave := range all {
-		leave()
+		s.t.Cleanup(s.beginStream("p" + strconv.Itoa(n)))
 	}
 }
 
@@ -164,10 +160,44 @@
 	targets, versionOf := versionedTargets(t, stallThenResume, "v1", "v2")
 	s := newSystem(t)
 	list(s.host, versionOf, targets[0])
-	s.beginStream("p")()
+	s.t.Cleanup(s.beginStream("p"))
 	s.addHost()
 	list(s.host, versionOf, targets[1])
 	got := s.postStream("p", 2, ownheaders.LastEvent, "2", ownheaders.Resumes, "p-1")
 	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.NotEmpty(t, got.header.Get("Retry-After"))
 	require.Empty(t, targets[1].requests())
 }
+
+// Without the attempt that began it, a stream continues only where all streams of its program, or else
+// all targets, have one software version.
+func TestTakenUpStreamOfUnknownAttempt(t *testing.T) {
+	for name, c := range map[string]struct {
+		listed  []string // versions of the targets while the stream is taken up
+		begun   bool     // the program has begun a stream at v1
+		resumes string
+		want    int
+	}{
+		"one version":                     {[]string{"v1", "v1"}, false, "unknown", http.StatusOK},
+		"several versions":                {[]string{"v1", "v2"}, false, "unknown", http.StatusServiceUnavailable},
+		"several versions, other attempt": {[]string{"v2", "v1"}, true, "unknown", http.StatusServiceUnavailable},
+		"not named, one of the program":   {[]string{"v2", "v1"}, true, "", http.StatusOK},
+		"not named, none of the program":  {[]string{"v2", "v1"}, false, "", http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			targets, versionOf := versionedTargets(t, stallThenResume, append([]string{"v1"}, c.listed...)...)
+			s := newSystem(t)
+			list(s.host, versionOf, targets[0])
+			if c.begun {
+				s.t.Cleanup(s.beginStream("p"))
+			}
+			s.addHost()
+			list(s.host, versionOf, targets[1:]...)
+			got := s.postStream("p", 2, ownheaders.LastEvent, "2", ownheaders.Resumes, c.resumes)
+			require.Equal(t, c.want, got.status)
+			for _, versions := range versionsOfStreams(versionOf, targets...) {
+				require.Len(t, versions, 1)
+			}
+		})
+	}
+}
--- a/daemon/entry/stream.go
+++ b/daemon/entry/stream.go
@@ -85,8 +85,6 @@
 		if err != nil {
 			return err
 		}
-		x.softwareVersion = t.SoftwareVersion // another version could not continue after this event
-		x.writeHead(resp)
 		x.host.reachability.recordHeard(x.targetID)
 		now := time.Now()
 		if lastEventAt.IsZero() {
@@ -95,6 +93,8 @@
 			x.recordEvent(now.Sub(lastEventAt))
 		}
 		lastEventAt = now
+		x.bindToTarget(ctx, t)
+		x.writeHead(resp)
 		if x.turn != nil && !x.turn.addEvent(ctx, e) {
 			return errNoMemory
 		}
--- a/daemon/entry/turn.go
+++ b/daemon/entry/turn.go
@@ -107,11 +107,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, x.host.HistoryTimeout)
 	defer cancel()
-	reservation := &historypb.Record{Change: &historypb.Record_Reserve{
-		Reserve: &historypb.Reserve{Turn: x.call.ID, Tokens: x.call.MaxTokens},
-	}}
-	history := x.host.History
-	if err := history.Write(ctx, x.budgetProgram(), x.retention(), reservation); err != nil {
+	x.bindNewStream()
+	if err := x.host.History.Write(ctx, x.budgetProgram(), x.retention(), t.reservationRecord()); err != nil {
 		return t.historyFailure(err)
 	}
 	programHistory, err := t.readProgramHistory(ctx)
@@ -121,11 +118,21 @@
 	if programHistory, err = t.checkBudget(ctx, programHistory); err != nil {
 		return err
 	}
+	if err := x.bindTakenUpStream(&programHistory.Usage); err != nil {
+		return err
+	}
 	x.markCached(programHistory.Runs)
 	x.programStarted = x.call.PreviousTurn != "" || programHistory.Usage.TokensExcluding(x.call.ID) > 0
 	return t.prependChain(ctx, programHistory.Chain, programHistory.ChainInOtherProgram)
 }
 
+// reservationRecord returns the record that reserves the tokens of the turn.
+func (t *turn) reservationRecord() *historypb.Record {
+	return &historypb.Record{Change: &historypb.Record_Reserve{
+		Reserve: &historypb.Reserve{Turn: t.x.call.ID, Tokens: t.x.call.MaxTokens, SoftwareVersion: t.x.softwareVersion},
+	}}
+}
+
 // readProgramHistory reads the budget use of the program, the targets that ran its turns, and the
 // chain of turns that this one continues.
 func (t *turn) readProgramHistory(ctx context.Context) (*quorum.ProgramHistory, error) {
@@ -274,7 +281,7 @@
 // settlementRecord returns the record that replaces the reservation by the tokens delivered.
 func (t *turn) settlementRecord() *historypb.Record {
 	return &historypb.Record{Change: &historypb.Record_Settle{
-		Settle: &historypb.Settle{Turn: t.x.call.ID, Tokens: t.deliveredTokens(), Ran: t.runRecord()},
+		Settle: &historypb.Settle{Turn: t.x.call.ID, Tokens: t.deliveredTokens(), Ran: t.runRecord(), SoftwareVersion: t.x.softwareVersion},
 	}}
 }
 
--- a/daemon/quorum/settlements.go
+++ b/daemon/quorum/settlements.go
@@ -21,7 +21,7 @@
 		}
 		settlements = append(settlements, &historypb.Record{
 			Slot: r.Slot, Program: r.Program, ExpiresMs: r.ExpiresMs,
-			Change: &historypb.Record_Settle{Settle: &historypb.Settle{Turn: s.Turn, Tokens: s.Tokens}},
+			Change: &historypb.Record_Settle{Settle: &historypb.Settle{Turn: s.Turn, Tokens: s.Tokens, SoftwareVersion: s.SoftwareVersion}},
 		})
 	}
 	return settlements
