daemon/relay: dropped history is an answer of the platform, not a failure

What a caller would see: 404 for a route for up to 3 s after its version was acknowledged, at a host that follows the platform itself because the platform answers it and not the relays, when the platform drops its history.

Cause: the watch that fails with HistoryGone was recorded like a call without an answer, so the list that must follow was held back for directRetryInterval (3 s).

Evidence: TestDroppedHistoryDoesNotDelayHostThatFollowsDirectly, bound 2 s: red before, passes now; daemon/relay passes.

--- a/daemon/relay/directlimit.go
+++ b/daemon/relay/directlimit.go
@@ -41,10 +41,10 @@
 	return !time.Now().Before(l.nextAt)
 }
 
-// recordResult records the result of a call to the platform.
-func (l *directLimiter) recordResult(err error) {
+// recordResult records whether the platform answered a call.
+func (l *directLimiter) recordResult(answered bool) {
 	l.nextAt = time.Now()
-	if err != nil {
+	if !answered {
 		l.nextAt = l.nextAt.Add(directRetryInterval)
 	}
 }
--- a/daemon/relay/harness_test.go
+++ b/daemon/relay/harness_test.go
@@ -29,10 +29,12 @@
 	items    map[string]objects.Object
 	events   []objects.Event
 	revision uint64
-	down     bool
-	hangs    bool
-	changed  chan struct{}
-	calls    int
+	// oldestRevision is the revision after which all changes are known to watches.
+	oldestRevision uint64
+	down           bool
+	hangs          bool
+	changed        chan struct{}
+	calls          int
 }
 
 func newFakePlatform() *fakePlatform {
@@ -48,6 +50,16 @@
 	p.publish(objects.Event{Object: o})
 }
 
+// dropHistory makes watches from any revision so far fail with HistoryGone, also those that wait.
+func (p *fakePlatform) dropHistory() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revision++
+	p.oldestRevision = p.revision
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
 func (p *fakePlatform) remove(name string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -101,6 +113,7 @@
 	for {
 		p.mu.Lock()
 		c, changed, down, hangs := objects.Changes{Revision: p.revision}, p.changed, p.down, p.hangs
+		isGone := revision < p.oldestRevision
 		for _, e := range p.events {
 			if e.Object.Revision > revision {
 				c.Events = append(c.Events, e)
@@ -114,6 +127,8 @@
 			// This call gets no reply; the client gives it up.
 			time.Sleep(wait + 300*time.Millisecond)
 			return objects.Changes{}, failure.New(failure.PlatformUnavailable, "no answer")
+		case isGone:
+			return objects.Changes{}, failure.New(failure.HistoryGone, "history dropped")
 		case len(c.Events) > 0:
 			return c, nil
 		}
--- a/daemon/relay/silence_test.go
+++ b/daemon/relay/silence_test.go
@@ -107,6 +107,18 @@
 	return late
 }
 
+// A host that follows the platform itself, because it answers the host and not the relays, must list
+// again at once when the platform has dropped its history: that is an answer and no failure.
+func TestDroppedHistoryDoesNotDelayHostThatFollowsDirectly(t *testing.T) {
+	runSystem(t, 6, func(sys *testSystem) {
+		sys.link.partitioned.Store(true)
+		time.Sleep(10 * time.Second)
+		sys.platform.dropHistory()
+		sys.platform.set("one", "2")
+		sys.requireItems(t, maxChangeDelay, map[string]string{"one": "2"})
+	})
+}
+
 // While the platform is silent to history hosts only, a change must be in force on the other hosts in
 // time, at whatever moment of the relays' watches the silence begins.
 func TestChangeIsInForceInTimeWhileRelaysGetNoReply(t *testing.T) {
--- a/daemon/relay/source.go
+++ b/daemon/relay/source.go
@@ -172,10 +172,11 @@
 	}
 }
 
-// recordDirectResult records the result of a direct call to the platform.
+// recordDirectResult records the result of a direct call to the platform. That it has dropped its
+// history is an answer.
 func (s *Source) recordDirectResult(err error) {
-	s.directAnswered = err == nil
-	s.directLimiter.recordResult(err)
+	s.directAnswered = err == nil || failure.Is(err, failure.HistoryGone)
+	s.directLimiter.recordResult(s.directAnswered)
 }
 
 // recordRelayAnswer records that a relay answered.
