daemon/entry: a host without contact to the platform does not deny a route

What a caller would see: 404, which ends its program, for a route that was added while its host was cut off.

Cause: a route that the table lacks was answered 404 whatever the host knew of the table's age. While neither a relay nor the platform answers its requests for the configuration it now refuses with 503 and a Retry-After.

Evidence: TestUnknownRouteIsNotDeniedWithoutContact, red before (404), passes now; daemon/entry passes.

--- a/daemon/entry/entry_test.go
+++ b/daemon/entry/entry_test.go
@@ -13,6 +13,8 @@
 	"github.com/pistachioarch/pistachioarch/core/balance"
 	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/core/historypb"
+	"github.com/pistachioarch/pistachioarch/core/routing"
+	"github.com/pistachioarch/pistachioarch/wire/objects"
 	"github.com/pistachioarch/pistachioarch/wire/ownheaders"
 )
 
@@ -306,3 +308,16 @@
 	require.Equal(t, http.StatusOK, got.status, "its events are forwarded")
 	require.Error(t, got.err, "the stream looks incomplete")
 }
+
+// A host that has lost contact with the platform may not know the newest routes: it must not deny them.
+func TestUnknownRouteIsNotDeniedWithoutContact(t *testing.T) {
+	s := newSystem(t)
+	view := NewConfigView(s.host, "main", func([]byte) (*routing.Table, error) { return nil, failure.New(failure.InvalidDeclaration, "none") })
+	require.Equal(t, http.StatusNotFound, s.post("/new/", "x", ownheaders.ID, "1").status)
+	view.Lost(failure.New(failure.PlatformUnavailable, "platform down"))
+	got := s.post("/new/", "x", ownheaders.ID, "2")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.NotEmpty(t, got.header.Get("Retry-After"))
+	view.Changed(objects.Changes{})
+	require.Equal(t, http.StatusNotFound, s.post("/new/", "x", ownheaders.ID, "3").status)
+}
--- a/daemon/entry/handle.go
+++ b/daemon/entry/handle.go
@@ -141,7 +141,7 @@
 	x.held.setRequestID(x.call.ID)
 	route, ok := x.table.Match(x.r.Host, x.r.URL.Path)
 	if !ok {
-		return failure.New(failure.NoRoute, "no route for %s%s in configuration version %d", x.r.Host, x.r.URL.Path, x.table.Version)
+		return x.noRouteFailure()
 	}
 	x.route = route
 	if x.host.staleFor() == 0 {
@@ -157,6 +157,15 @@
 	return x.readBody()
 }
 
+// noRouteFailure returns the failure of a request without a route. A host that may not know the newest
+// configuration does not deny the route: another attempt may find it.
+func (x *exchange) noRouteFailure() error {
+	if x.host.configLost.Load() {
+		return failure.Retry(failure.NoConfiguration, x.host.staleRetryDelay(0), "no route for %s%s in configuration version %d, which may not be the newest", x.r.Host, x.r.URL.Path, x.table.Version)
+	}
+	return failure.New(failure.NoRoute, "no route for %s%s in configuration version %d", x.r.Host, x.r.URL.Path, x.table.Version)
+}
+
 // maxRequestTimeout bounds every request, also if neither the caller nor the route sets a
 // timeout.
 const maxRequestTimeout = 60 * time.Second
--- a/daemon/entry/host.go
+++ b/daemon/entry/host.go
@@ -77,6 +77,8 @@
 	// confirmedAt is the latest instant at which the current table is known to have been the
 	// newest, in nanoseconds of now.
 	confirmedAt atomic.Int64
+	// configLost is set while neither a relay nor the platform answers requests for the configuration.
+	configLost atomic.Bool
 	// configConfirmed wakes requests that wait for a confirmation.
 	configConfirmed broadcast
 	server          atomic.Pointer[http.Server]
--- a/daemon/entry/view.go
+++ b/daemon/entry/view.go
@@ -16,7 +16,6 @@
 	host   *Host
 	name   string
 	decode DecodeTable
-	lost   bool
 }
 
 // NewConfigView returns a listener that applies the configuration object called name.
@@ -46,18 +45,16 @@
 
 // Lost implements objects.Listener. The current configuration stays in force.
 func (v *ConfigView) Lost(err error) {
-	if !v.lost {
+	if !v.host.configLost.Swap(true) {
 		v.host.Log.Warn("platform lost", "view", "configuration", "error", err.Error())
 	}
-	v.lost = true
 }
 
 // logRegained logs the first contact with the platform after Lost.
 func (v *ConfigView) logRegained() {
-	if v.lost {
+	if v.host.configLost.Swap(false) {
 		v.host.Log.Info("platform regained", "view", "configuration")
 	}
-	v.lost = false
 }
 
 // apply puts the configuration of an object in force. One that cannot be decoded is logged and
