--- a/core/host/doc.go
+++ b/core/host/doc.go
@@ -35,6 +35,6 @@
 //
 // Every change of a program is a record in the member's journal stream. An answer
 // is sent only when its record is durable: in a segment object at the platform, or
-// acknowledged by the tail peer, which keeps the tail of the stream (log.go). Old segments are freed by
-// snapshots of their live programs (clean.go).
+// acknowledged by the tail peer, which keeps the tail of the stream (log.go). Old
+// segments are freed by snapshots of their live programs (clean.go).
 package host
