daemon/relay, settings: the time in which changes are in force holds for every number of tolerated faults

The bound of the relays' watch was a fraction of config_ms. It did not grow with the number of relays that may be met by the silence one after the other, and a host's retry delays (random, up to 0.2 s) came on top of its delay before the first direct call. Now the watch waits for what the relays' polls (0.3 s each) and the hosts' own read leave, and a host waits for its turn inside the call.

--- a/daemon/relay/directlimit.go
+++ b/daemon/relay/directlimit.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"time"
 
 	"github.com/pistachioarch/pistachioarch/core/failure"
@@ -14,7 +15,7 @@
 	// maxFirstDirectDelay bounds the delay before the first of these calls. The delay differs
 	// by host, so that an outage causes no burst. It is short because the platform may answer
 	// the host, which then must have a change in time; see settings.Role.RelayedWatchTimeout.
-	maxFirstDirectDelay = 250 * time.Millisecond
+	maxFirstDirectDelay = 150 * time.Millisecond
 )
 
 // directLimiter limits the rate of a host's direct calls to the platform.
@@ -29,18 +30,30 @@
 }
 
 // allows reports whether the host may call the platform after relays failed with err. It may
-// call at once if no relay answered, or if always is true.
-func (l *directLimiter) allows(err error, always bool) bool {
+// call at once if no relay answered, or if always is true. It waits for the delay before the first
+// call: the caller's own retry delay would come on top.
+func (l *directLimiter) allows(ctx context.Context, err error, always bool) bool {
 	relayAnswered := failure.Is(err, failure.PlatformUnavailable) || failure.Is(err, failure.ListPending)
 	if always || !relayAnswered {
 		return true
 	}
 	if l.nextAt.IsZero() {
 		l.nextAt = time.Now().Add(l.firstDelay)
+		sleep(ctx, l.firstDelay)
 	}
 	return !time.Now().Before(l.nextAt)
 }
 
+// sleep waits for d or until the context ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // recordResult records whether the platform answered a call.
 func (l *directLimiter) recordResult(answered bool) {
 	l.nextAt = time.Now()
--- a/daemon/relay/silence_test.go
+++ b/daemon/relay/silence_test.go
@@ -25,6 +25,8 @@
 	// maxChangeDelay is the time within which a change that the platform has acknowledged must be in force
 	// on every host that the platform answers.
 	maxChangeDelay = 2 * time.Second
+	// deliveryTime is the part of maxChangeDelay that calls take on a network and busy hosts.
+	deliveryTime = 250 * time.Millisecond
 )
 
 // silentLink is a host's connection to the platform. While silent, calls get no reply, not even
@@ -57,8 +59,8 @@
 	return reply(l, wait+replyMargin, startedAt, c, err)
 }
 
-// silenceSystem is a platform, three history hosts, of which the first two are the relays of some
-// entry hosts, and the links of the history hosts to the platform.
+// silenceSystem is a platform, some history hosts, of which the first are the relays of some entry hosts,
+// and the links of the history hosts to the platform.
 type silenceSystem struct {
 	platform *fakePlatform
 	links    map[string]*silentLink
@@ -66,13 +68,16 @@
 	stop     context.CancelFunc
 }
 
-func startSilenceSystem(t *testing.T, hosts int) *silenceSystem {
-	set, err := settings.ParseRole([]byte("[host]\nname=h\ndata_centre=d\n[listen]\naddress=10.0.0.1\n[platform]\naddress=10.0.0.2:1\n"))
+// startSilenceSystem starts a system with one more relay than the number of tolerated faults, and one
+// more history host than relays.
+func startSilenceSystem(t *testing.T, hosts, faults int) *silenceSystem {
+	text := fmt.Sprintf("[host]\nname=h\ndata_centre=d\n[listen]\naddress=10.0.0.1\n[platform]\naddress=10.0.0.2:1\n[faults]\nhosts=%d\n", faults)
+	set, err := settings.ParseRole([]byte(text))
 	require.NoError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	s := &silenceSystem{platform: newFakePlatform(), links: map[string]*silentLink{}, stop: stop}
-	members := []string{"a", "b", "c"}
-	peers := &fakePeers{relays: members[:2], servers: map[string]*Server{}}
+	members := []string{"a", "b", "c", "d"}[:faults+2]
+	peers := &fakePeers{relays: members[:faults+1], servers: map[string]*Server{}}
 	for _, id := range members {
 		link := &silentLink{fakePlatform: s.platform}
 		s.links[id] = link
@@ -97,7 +102,7 @@
 	}
 	time.Sleep(changeAfter)
 	s.platform.set("value", "1")
-	time.Sleep(maxChangeDelay)
+	time.Sleep(maxChangeDelay - deliveryTime)
 	late := 0
 	for _, m := range s.mirrors {
 		if m.contents()["value"] != "1" {
@@ -123,17 +128,24 @@
 // time, at whatever moment of the relays' watches the silence begins.
 func TestChangeIsInForceInTimeWhileRelaysGetNoReply(t *testing.T) {
 	const seeds = 60
-	for name, silent := range map[string][]string{
-		"first relay": {"a"}, "second relay": {"b"}, "both relays": {"a", "b"}, "all history hosts": {"a", "b", "c"},
+	for name, c := range map[string]struct {
+		faults int
+		silent []string
+	}{
+		"first relay":       {1, []string{"a"}},
+		"second relay":      {1, []string{"b"}},
+		"both relays":       {1, []string{"a", "b"}},
+		"all history hosts": {1, []string{"a", "b", "c"}},
+		"three relays":      {2, []string{"a", "b", "c"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			late := map[uint64]int{} // hosts that are late, by seed
 			for seed := range uint64(seeds) {
 				synctest.Test(t, func(t *testing.T) {
 					r := rand.New(rand.NewPCG(seed, 44))
-					s := startSilenceSystem(t, 12)
+					s := startSilenceSystem(t, 12, c.faults)
 					time.Sleep(10*time.Second + time.Duration(r.IntN(5000))*time.Millisecond)
-					if n := s.lateHosts(silent, time.Duration(r.IntN(1500))*time.Millisecond); n > 0 {
+					if n := s.lateHosts(c.silent, time.Duration(r.IntN(1500))*time.Millisecond); n > 0 {
 						late[seed] = n
 					}
 					s.stop()
--- a/daemon/relay/source.go
+++ b/daemon/relay/source.go
@@ -110,7 +110,7 @@
 // List implements objects.Reader.
 func (s *Source) List(ctx context.Context, kind string) (objects.Snapshot, error) {
 	snapshot, err := s.listFromRelay(ctx, &historypb.ListObjects{Kind: kind, Revision: s.lastRevision})
-	if err != nil && s.directLimiter.allows(err, s.lastRevision == 0 || s.peers.IsRelay()) {
+	if err != nil && s.directLimiter.allows(ctx, err, s.lastRevision == 0 || s.peers.IsRelay()) {
 		snapshot, err = s.platform.List(ctx, kind)
 		s.recordDirectResult(err)
 		snapshot = s.subset.filterList(snapshot)
@@ -145,7 +145,7 @@
 	if err == nil {
 		changes = s.subset.applyRelayChanges(changes, halvings)
 	}
-	if err != nil && !failure.Is(err, failure.HistoryGone) && s.directLimiter.allows(err, s.peers.IsRelay()) {
+	if err != nil && !failure.Is(err, failure.HistoryGone) && s.directLimiter.allows(ctx, err, s.peers.IsRelay()) {
 		changes, err = s.platform.Watch(ctx, kind, revision, s.directWait(wait))
 		s.recordDirectResult(err)
 		changes = s.subset.filterChanges(changes)
--- a/daemon/settings/role.go
+++ b/daemon/settings/role.go
@@ -79,16 +79,22 @@
 	return max(minWatchTimeout, r.ContactWindow-watchTimeoutMargin)
 }
 
-// relayedWatchFraction is the timeout of a relay's watch as a fraction of the shortest time within
-// which a change must be in force. The rest covers a watch to which the platform never replies: it is
-// abandoned (0.3 s), the next relay finds that the platform does not reply to it either (0.3 s), and
-// the other hosts read the change themselves.
-const relayedWatchFraction = 0.4
+const (
+	// silentCallTimeout is the time in which a host finds that the platform does not reply to it: the
+	// time beyond its wait in which a watch is abandoned, and the duration of a poll.
+	silentCallTimeout = 300 * time.Millisecond
+	// directReadTime is the time in which other hosts read a change themselves once no relay serves
+	// them: their delay before the first call (0.15 s), and the call itself at a busy host.
+	directReadTime = 500 * time.Millisecond
+)
 
-// RelayedWatchTimeout returns how long one watch of the platform by a relay may wait. The other
-// hosts are in contact with the platform while a relay is not, and must have its changes in time.
+// RelayedWatchTimeout returns how long one watch of the platform by a relay may wait. If the platform
+// does not reply to the relays, the other hosts are still in contact with it and must have its changes
+// in time: after the first relay's watch and a poll of each other relay, of which there is one for each
+// tolerated fault, they read the changes themselves.
 func (r *Role) RelayedWatchTimeout() time.Duration {
-	bounded := fractionOf(relayedWatchFraction, min(r.MaxConfigDelay, r.MaxDrainDelay))
+	relays := time.Duration(1 + r.ToleratedHostFaults)
+	bounded := min(r.MaxConfigDelay, r.MaxDrainDelay) - relays*silentCallTimeout - directReadTime
 	return min(r.WatchTimeout(), max(minWatchTimeout, bounded))
 }
 
--- a/daemon/settings/role_test.go
+++ b/daemon/settings/role_test.go
@@ -37,7 +37,7 @@
 grace_s = 8.0
 contact_ms = 4000
 config_ms = 2500
-drain_ms = 1500
+drain_ms = 2200
 [keys]
 removal_strict = true
 removal_ms = 5000
@@ -58,7 +58,7 @@
 	require.Equal(t, map[string]string{"dc1": "north", "dc2": "south"}, r.Regions)
 	require.Equal(t, 8*time.Second, r.GracePeriod)
 	require.Equal(t, 3300*time.Millisecond, r.WatchTimeout())
-	require.Equal(t, 600*time.Millisecond, r.RelayedWatchTimeout(), "a fraction of the shorter of config_ms and drain_ms")
+	require.Equal(t, 800*time.Millisecond, r.RelayedWatchTimeout(), "the shorter of config_ms and drain_ms, less 0.3 s for each of three relays and 0.5 s")
 	require.EqualValues(t, 134<<20, r.MemoryBytes)
 	require.Equal(t, 2, r.ToleratedHostFaults)
 	require.Equal(t, 4*time.Second, r.KeyMaxAge())
