--- a/ctl/standin/engine.go
+++ b/ctl/standin/engine.go
@@ -13,6 +13,7 @@
 	"github.com/pistachioarch/pistachioarch/core/ident"
 	"github.com/pistachioarch/pistachioarch/wire/api"
 	"github.com/pistachioarch/pistachioarch/wire/target"
+	"github.com/pistachioarch/pistachioarch/wire/wait"
 )
 
 // EngineConfig sets the capacity and speed of an Engine.
@@ -311,7 +312,7 @@
 		e.lastID, e.lastChunks = id, chunks
 	}
 	e.mu.Unlock()
-	if !sleep(r.Context(), delay+e.cfg.PrefillPerToken*time.Duration(prompt-cached)) {
+	if !wait.For(r.Context(), delay+e.cfg.PrefillPerToken*time.Duration(prompt-cached)) {
 		return
 	}
 	events := json.NewEncoder(&eventWriter{w})
@@ -320,7 +321,7 @@
 		if breakConnection && i > 0 {
 			panic(http.ErrAbortHandler)
 		}
-		if !sleep(r.Context(), e.cfg.DecodePerToken) {
+		if !wait.For(r.Context(), e.cfg.DecodePerToken) {
 			return
 		}
 		_ = events.Encode(target.CompletionChunk{ID: id, Choices: []target.CompletionDelta{{Delta: api.Message{Role: "assistant", Content: chunk}}}})
--- a/ctl/standin/objects.go
+++ b/ctl/standin/objects.go
@@ -9,6 +9,7 @@
 
 	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/wire/objects"
+	"github.com/pistachioarch/pistachioarch/wire/wait"
 )
 
 const (
@@ -182,13 +183,13 @@
 // lockAfterLatency waits for the latency of the store and locks it. Without a reply, the client gives
 // the call up at its deadline.
 func (v *storeView) lockAfterLatency(ctx context.Context, deadline time.Time) error {
-	if !sleep(ctx, storeLatency) {
+	if !wait.For(ctx, storeLatency) {
 		return failure.Wrap(ctx.Err(), failure.PlatformUnavailable, "store")
 	}
 	v.store.mu.Lock()
 	if v.store.silent[v.ip] {
 		v.store.mu.Unlock()
-		sleep(ctx, time.Until(deadline))
+		wait.For(ctx, time.Until(deadline))
 		return failure.New(failure.PlatformUnavailable, "no reply from the store")
 	}
 	if v.store.down || v.store.partitioned[v.ip] {
--- a/ctl/standin/platform.go
+++ b/ctl/standin/platform.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"context"
 	"encoding/json"
 	"io"
 	"maps"
@@ -13,6 +12,7 @@
 	"time"
 
 	"github.com/pistachioarch/pistachioarch/wire/platform"
+	"github.com/pistachioarch/pistachioarch/wire/wait"
 )
 
 // PlatformFaults are the faults that a Platform can show. In fields that select each
@@ -142,7 +142,7 @@
 func (p *Platform) withFaults(serve http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		faults := p.currentFaults()
-		if faults.SlowMS > 0 && !sleep(r.Context(), time.Duration(faults.SlowMS)*time.Millisecond) {
+		if faults.SlowMS > 0 && !wait.For(r.Context(), time.Duration(faults.SlowMS)*time.Millisecond) {
 			return
 		}
 		if faults.Down {
@@ -153,22 +153,6 @@
 	}
 }
 
-// sleep waits for a duration. It returns false if the context ended first. Without a
-// positive duration it creates no timer.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/ctl/standin/service.go
+++ b/ctl/standin/service.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pistachioarch/pistachioarch/wire/target"
+	"github.com/pistachioarch/pistachioarch/wire/wait"
 )
 
 // ServiceFaults are the faults that a Service can show.
@@ -102,7 +103,7 @@
 		<-r.Context().Done()
 		return
 	}
-	if !sleep(r.Context(), time.Duration(faults.SlowMS)*time.Millisecond) {
+	if !wait.For(r.Context(), time.Duration(faults.SlowMS)*time.Millisecond) {
 		return
 	}
 	if loseReply {
--- a/daemon/entry/capacity_wait.go
+++ b/daemon/entry/capacity_wait.go
@@ -6,6 +6,7 @@
 
 	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/core/routing"
+	"github.com/pistachioarch/pistachioarch/wire/wait"
 )
 
 const (
@@ -58,7 +59,7 @@
 	}
 	delay := capacityRetryDelay + time.Duration(x.draw()*float64(capacityRetryDelay))
 	x.capacityWait.waited += delay
-	if !sleep(ctx, delay) {
+	if !wait.For(ctx, delay) {
 		return false
 	}
 	x.host.Meter.Count("waits", "room")
--- a/daemon/entry/quota.go
+++ b/daemon/entry/quota.go
@@ -6,6 +6,7 @@
 
 	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/core/quota"
+	"github.com/pistachioarch/pistachioarch/wire/wait"
 )
 
 const (
@@ -36,7 +37,7 @@
 	ctx, cancel := context.WithTimeout(ctx, x.host.HistoryTimeout)
 	defer cancel()
 	grant, err := x.requestToken(ctx)
-	for remaining := x.tokenWaitTimeout(); err == nil && !grant.Granted && grant.RetryDelay <= remaining && sleep(ctx, grant.RetryDelay); {
+	for remaining := x.tokenWaitTimeout(); err == nil && !grant.Granted && grant.RetryDelay <= remaining && wait.For(ctx, grant.RetryDelay); {
 		remaining -= grant.RetryDelay
 		grant, err = x.requestToken(ctx)
 	}
--- a/daemon/entry/turn.go
+++ b/daemon/entry/turn.go
@@ -10,6 +10,7 @@
 	"github.com/pistachioarch/pistachioarch/core/historypb"
 	"github.com/pistachioarch/pistachioarch/core/routing"
 	"github.com/pistachioarch/pistachioarch/daemon/quorum"
+	"github.com/pistachioarch/pistachioarch/wire/wait"
 )
 
 const (
@@ -166,7 +167,7 @@
 			return programHistory, nil
 		}
 		pending := programHistory.Usage.SettledTokensExcluding(call.ID)+call.MaxTokens <= call.TokenBudget && time.Now().Before(deadline)
-		if !pending || !sleep(ctx, settlementPollInterval) {
+		if !pending || !wait.For(ctx, settlementPollInterval) {
 			return nil, failure.New(failure.BudgetExhausted, "other turns use %d of %d tokens, %d requested",
 				programHistory.Usage.TokensExcluding(call.ID), call.TokenBudget, call.MaxTokens)
 		}
@@ -178,18 +179,6 @@
 	}
 }
 
-// sleep waits for d; it reports false if the context ended before.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // historyFailure turns an error of history hosts into a failure with a retry delay, unless a retry
 // cannot succeed.
 func (t *turn) historyFailure(err error) error {
--- a/daemon/quorum/client.go
+++ b/daemon/quorum/client.go
@@ -22,6 +22,7 @@
 	"github.com/pistachioarch/pistachioarch/daemon/meter"
 	"github.com/pistachioarch/pistachioarch/wire/objects"
 	"github.com/pistachioarch/pistachioarch/wire/rpc"
+	"github.com/pistachioarch/pistachioarch/wire/wait"
 )
 
 // Client calls the history hosts. Each disk of a history host is one member of the slot map.
@@ -245,24 +246,12 @@
 			return nil
 		}
 		c.meter.Count("history_writes", "failed")
-		if c.unreachableFor(program) > unreachableTimeout || !waitRetryDelay(ctx) {
+		if c.unreachableFor(program) > unreachableTimeout || !wait.For(ctx, retryDelay) {
 			return err
 		}
 	}
 }
 
-// waitRetryDelay waits for retryDelay and reports whether the context still runs.
-func waitRetryDelay(ctx context.Context) bool {
-	timer := time.NewTimer(retryDelay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (c *Client) writeOnce(ctx context.Context, records []*historypb.Record) error {
 	m := c.currentMap()
 	if m == nil || !m.IsAssigned() {
--- a/daemon/quorum/read.go
+++ b/daemon/quorum/read.go
@@ -8,6 +8,7 @@
 	"github.com/pistachioarch/pistachioarch/core/historypb"
 	"github.com/pistachioarch/pistachioarch/core/ledger"
 	"github.com/pistachioarch/pistachioarch/core/placement"
+	"github.com/pistachioarch/pistachioarch/wire/wait"
 )
 
 // ProgramHistory is the stored history of a program, merged from the replies of its replicas.
@@ -36,7 +37,7 @@
 			return history, err
 		}
 		c.meter.Count("history_reads", "failed")
-		if !waitRetryDelay(ctx) {
+		if !wait.For(ctx, retryDelay) {
 			return nil, err
 		}
 	}
--- a/daemon/quorum/token.go
+++ b/daemon/quorum/token.go
@@ -8,6 +8,7 @@
 	"github.com/pistachioarch/pistachioarch/core/historypb"
 	"github.com/pistachioarch/pistachioarch/core/placement"
 	"github.com/pistachioarch/pistachioarch/core/quota"
+	"github.com/pistachioarch/pistachioarch/wire/wait"
 )
 
 // tokenHedgeDelay is how long a member may take for a token until the next one is asked as well:
@@ -28,7 +29,7 @@
 			return grant, nil
 		}
 		c.meter.Count("quota_takes", "failed")
-		if !waitRetryDelay(ctx) {
+		if !wait.For(ctx, retryDelay) {
 			return quota.Grant{}, err
 		}
 	}
--- a/daemon/relay/directlimit.go
+++ b/daemon/relay/directlimit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/wire/wait"
 )
 
 const (
@@ -39,21 +40,11 @@
 	}
 	if l.nextAt.IsZero() {
 		l.nextAt = time.Now().Add(l.firstDelay)
-		sleep(ctx, l.firstDelay)
+		wait.For(ctx, l.firstDelay)
 	}
 	return !time.Now().Before(l.nextAt)
 }
 
-// sleep waits for d or until the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // recordResult records whether the platform answered a call.
 func (l *directLimiter) recordResult(answered bool) {
 	l.nextAt = time.Now()
--- a/wire/objects/follow.go
+++ b/wire/objects/follow.go
@@ -7,6 +7,7 @@
 	"github.com/cenkalti/backoff/v4"
 
 	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/wire/wait"
 )
 
 const (
@@ -69,7 +70,7 @@
 		snapshot, err := store.List(ctx, kind)
 		if err != nil {
 			listener.Lost(err)
-			sleep(ctx, retryDelay.NextBackOff())
+			wait.For(ctx, retryDelay.NextBackOff())
 			continue
 		}
 		retryDelay.Reset()
@@ -78,7 +79,7 @@
 		watch(ctx, store, kind, t, snapshot.Revision, listener)
 		// When different relays answer the list and the watch, the list may be too old for
 		// the watch until the relay that served the list has caught up.
-		sleep(ctx, minRetryDelay-time.Since(start))
+		wait.For(ctx, minRetryDelay-time.Since(start))
 	}
 }
 
@@ -95,14 +96,14 @@
 		if err != nil {
 			listener.Lost(err)
 			// The duration of the failed call counts towards the delay.
-			sleep(ctx, retryDelay.NextBackOff()-time.Since(start))
+			wait.For(ctx, retryDelay.NextBackOff()-time.Since(start))
 			continue
 		}
 		retryDelay.Reset()
 		revision = changes.Revision
 		listener.Changed(changes)
 		if len(changes.Events) > 0 {
-			sleep(ctx, t.minInterval-time.Since(start))
+			wait.For(ctx, t.minInterval-time.Since(start))
 		}
 	}
 }
@@ -111,15 +112,3 @@
 	return backoff.NewExponentialBackOff(
 		backoff.WithInitialInterval(min(minRetryDelay, maxDelay)), backoff.WithMaxInterval(maxDelay), backoff.WithMaxElapsedTime(0))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
