ctl/roles: streams over two software versions while targets break off and hosts are killed

So the real entry and history hosts are played in virtual time: 16 callers send resumable streams to engines of v1, three of v2 come, for some 15 s an engine breaks off all its streams or an entry or history host is killed, every 0.1 to 0.4 s; callers take their streams up at the next host. No stream may mix versions or miss an event, and the part of taken-up streams that continue must be at least half of that of new ones.

--- a/ctl/roles/cluster_test.go
+++ b/ctl/roles/cluster_test.go
@@ -262,9 +262,18 @@
 
 // putTarget writes a target's object to the platform's store.
 func (c *cluster) putTarget(id, service, ip string, i int, draining bool) {
-	text, err := json.Marshal(balance.TargetInfo{ID: id, Service: service, Address: ip + ":80", DataCentre: fmt.Sprintf("dc%d", i), Capacity: 8, Draining: draining})
+	c.put(balance.TargetInfo{ID: id, Service: service, Address: ip + ":80", DataCentre: fmt.Sprintf("dc%d", i), Capacity: 8, Draining: draining})
+}
+
+// putVersionedTarget is putTarget for a target of a software version.
+func (c *cluster) putVersionedTarget(id, service, ip string, i int, version string) {
+	c.put(balance.TargetInfo{ID: id, Service: service, Address: ip + ":80", DataCentre: fmt.Sprintf("dc%d", i), Capacity: 8, SoftwareVersion: version})
+}
+
+func (c *cluster) put(target balance.TargetInfo) {
+	text, err := json.Marshal(target)
 	require.NoError(c.t, err)
-	c.store.Put(targetKind, id, text)
+	c.store.Put(targetKind, target.ID, text)
 }
 
 func decodeTarget(id string, spec []byte) (balance.TargetInfo, error) {
@@ -301,6 +310,7 @@
 		[]*routing.Service{{Name: engineService, Engine: &routing.Engine{Capacity: 8, TokensPerEvent: eventTokens}}, {Name: plainService}},
 		[]*routing.Route{
 			{Name: "turn", Host: "x", Prefix: "/turn/", Kind: routing.Streaming, Services: onlyService(engineService), MaxAttempts: 2, Retained: true, Retention: retention, Timeout: s.Timeout},
+			{Name: "stream", Host: "x", Prefix: "/stream/", Kind: routing.Streaming, Services: onlyService(engineService), MaxAttempts: 2, Resumable: true, Timeout: s.Timeout},
 			{Name: "order", Host: "x", Prefix: "/order/", Kind: routing.AtMostOnce, Services: onlyService(plainService), MaxAttempts: 2, Timeout: s.Timeout},
 			{Name: "look", Host: "x", Prefix: "/look/", Services: onlyService(plainService), MaxAttempts: 2, Timeout: s.Timeout},
 			{Name: fmt.Sprintf("v%d", s.Version), Host: "x", Prefix: fmt.Sprintf("/v%d/", s.Version), Services: onlyService(plainService), MaxAttempts: 2},
--- a/ctl/roles/invariants_test.go
+++ b/ctl/roles/invariants_test.go
@@ -52,6 +52,7 @@
 	// relayOutcomes are the outcomes of relayCases.
 	relayOutcomes   = map[string]*relayOutcome{}
 	partitionResult *partitionOutcome
+	versionsResult  *versionsOutcome
 	// keyRemovals, quotaOutcomes and evacuationOutcomes are the outcomes of customerFaults.
 	keyRemovals, quotaOutcomes = map[string]*customerOutcome{}, map[string]*customerOutcome{}
 	evacuationOutcomes         = map[string]*evacuationOutcome{}
@@ -96,6 +97,7 @@
 				largeStart = startManyHistoryHosts(t)
 				outageAttempt = sendTurnDuringOutage(t)
 				partitionResult = runPartition(t)
+				versionsResult = runStreamsOverVersions(t, 1)
 			}
 		})
 	})
--- a/ctl/standin/turn_engine.go
+++ b/ctl/standin/turn_engine.go
@@ -37,12 +37,32 @@
 
 	mu     sync.Mutex
 	active int // requests under way
-	runs   []Run
+	// version is written into the events if it is set.
+	version string
+	runs    []Run
 	// answersToLose is the number of next requests whose connections break after they
 	// ran.
 	answersToLose int
 }
 
+// SetEvents sets the software version, which the engine then writes into its events, and the number of
+// events of a stream.
+func (e *TurnEngine) SetEvents(version string, events int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.version, e.Events = version, events
+}
+
+// eventSettings returns the number of events of a stream, and what follows the data of each.
+func (e *TurnEngine) eventSettings() (events int, suffix string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.version != "" {
+		suffix = "@" + e.version
+	}
+	return e.Events, suffix
+}
+
 // LoseAnswers makes the engine run the next n requests and break their connections
 // without an answer.
 func (e *TurnEngine) LoseAnswers(n int) {
@@ -131,13 +151,14 @@
 		lastEvent = 0
 	}
 	controller := http.NewResponseController(w)
-	for i := lastEvent + 1; i <= e.Events; i++ {
+	events, suffix := e.eventSettings()
+	for i := lastEvent + 1; i <= events; i++ {
 		select {
 		case <-time.After(e.EventDelay):
 		case <-r.Context().Done():
 			return
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s.%d\n\n", i, id, i); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s.%d%s\n\n", i, id, i, suffix); err != nil {
 			return
 		}
 		if err := controller.Flush(); err != nil {
