daemon/settings: a relay's watch of evacuations is bounded like that of configurations and targets

The same cause elsewhere: with a short bound (bound_ms under 3.4 s with one tolerated fault) an evacuation would be late while the platform is silent to the relays. On the deployments at hand (5 s) the watch stays as it was.

Evidence: TestRelayedWatchIsWithinBoundOfChanges.

--- a/daemon/cmd/pistachiod/history.go
+++ b/daemon/cmd/pistachiod/history.go
@@ -56,13 +56,13 @@
 // relayedKinds returns the kinds of platform objects that a history host reads for other hosts.
 // Their watch timeouts are within the contact window: a watch that starts during an outage of the
 // platform may hang until its timeout, and a host that takes over from a lost relay meanwhile
-// receives no changes, not even of slots that have moved. Those of configurations and targets are
-// also within the time in which changes must be in force.
+// receives no changes, not even of slots that have moved. Those of configurations, targets
+// and evacuations are also within the time in which changes must be in force.
 func relayedKinds(set *settings.Role) []relay.Kind {
 	return []relay.Kind{
 		{Name: platform.ConfigKind, WatchTimeout: set.RelayedConfigWatchTimeout(), ForwardConfirmations: set.MaxKeyRemovalDelay > 0},
 		{Name: platform.TargetKind, WatchTimeout: set.RelayedWatchTimeout(), MinWatchInterval: minTargetWatchInterval, GroupOf: platform.DecodeTargetGroup},
-		{Name: platform.EvacuationKind, WatchTimeout: set.WatchTimeout()},
+		{Name: platform.EvacuationKind, WatchTimeout: set.RelayedEvacuationWatchTimeout()},
 		{Name: platform.RetirementKind, WatchTimeout: set.WatchTimeout()},
 		{Name: history.MapKind, WatchTimeout: set.WatchTimeout()},
 	}
--- a/daemon/settings/role.go
+++ b/daemon/settings/role.go
@@ -88,13 +88,26 @@
 	directReadTime = 500 * time.Millisecond
 )
 
-// RelayedWatchTimeout returns how long one watch of the platform by a relay may wait. If the platform
-// does not reply to the relays, the other hosts are still in contact with it and must have its changes
-// in time: after the first relay's watch and a poll of each other relay, of which there is one for each
-// tolerated fault, they read the changes themselves.
+// RelayedWatchTimeout returns how long one watch of configurations or targets by a relay may wait.
 func (r *Role) RelayedWatchTimeout() time.Duration {
+	return r.relayedWatchTimeout(min(r.MaxConfigDelay, r.MaxDrainDelay))
+}
+
+// RelayedEvacuationWatchTimeout returns how long one watch of evacuations by a relay may wait.
+func (r *Role) RelayedEvacuationWatchTimeout() time.Duration {
+	if r.MaxEvacuationDelay == 0 {
+		return r.WatchTimeout()
+	}
+	return r.relayedWatchTimeout(r.MaxEvacuationDelay)
+}
+
+// relayedWatchTimeout returns the timeout of a relay's watch of changes that must be in force on all
+// hosts within bound. If the platform does not reply to the relays, the other hosts are still in contact
+// with it and must have its changes in time: after the first relay's watch and a poll of each other
+// relay, of which there is one for each tolerated fault, they read the changes themselves.
+func (r *Role) relayedWatchTimeout(bound time.Duration) time.Duration {
 	relays := time.Duration(1 + r.ToleratedHostFaults)
-	bounded := min(r.MaxConfigDelay, r.MaxDrainDelay) - relays*silentCallTimeout - directReadTime
+	bounded := bound - relays*silentCallTimeout - directReadTime
 	return min(r.WatchTimeout(), max(minWatchTimeout, bounded))
 }
 
--- a/daemon/settings/role_test.go
+++ b/daemon/settings/role_test.go
@@ -59,6 +59,7 @@
 	require.Equal(t, 8*time.Second, r.GracePeriod)
 	require.Equal(t, 3300*time.Millisecond, r.WatchTimeout())
 	require.Equal(t, 800*time.Millisecond, r.RelayedWatchTimeout(), "the shorter of config_ms and drain_ms, less 0.3 s for each of three relays and 0.5 s")
+	require.Equal(t, r.WatchTimeout(), r.RelayedEvacuationWatchTimeout(), "evacuations have more time")
 	require.EqualValues(t, 134<<20, r.MemoryBytes)
 	require.Equal(t, 2, r.ToleratedHostFaults)
 	require.Equal(t, 4*time.Second, r.KeyMaxAge())
@@ -72,6 +73,19 @@
 	require.Equal(t, []string{"10.0.0.7:7380", "10.0.1.7:7380"}, r.Seeds, "seeds get the port of history hosts")
 }
 
+// A relay's watch must leave time for a platform that does not reply to the relays, whatever the bound.
+func TestRelayedWatchIsWithinBoundOfChanges(t *testing.T) {
+	for bound, want := range map[string]time.Duration{"700": minWatchTimeout, "2000": 900 * time.Millisecond, "9000": 2300 * time.Millisecond} {
+		text := strings.NewReplacer("hosts = 2", "hosts = 1", "contact_ms = 4000", "contact_ms = 3000", "config_ms = 2500", "config_ms = "+bound,
+			"drain_ms = 2200", "drain_ms = "+bound, "bound_ms = 5000", "bound_ms = "+bound, "removal_strict = true", "removal_strict = false").Replace(roleText)
+		r, err := ParseRole([]byte(text))
+		require.NoError(t, err)
+		require.Equal(t, want, r.RelayedWatchTimeout(), bound)
+		require.Equal(t, want, r.RelayedConfigWatchTimeout(), bound)
+		require.Equal(t, want, r.RelayedEvacuationWatchTimeout(), bound)
+	}
+}
+
 func TestParseRoleReportsAllInvalidSettings(t *testing.T) {
 	_, err := ParseRole([]byte(`
 [host]
