daemon/entry: log lines join the attempts of a request and tell crashed targets from broken connections

The lines about requests now have a fingerprint of what the caller asks for, and a broken run is logged with whether its target still accepts connections. No decision depends on either yet.

--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -68,6 +68,7 @@
 		if err == nil {
 			return nil
 		}
+		x.checkBrokenRuns()
 		reported = failureToReport(reported, err)
 		if !retry || ctx.Err() != nil {
 			return reported
@@ -121,7 +122,7 @@
 	x.tried[target.ID] = true
 	x.targetID, x.targetStartedAtMs, x.targetLoad, x.uncachedTokens = target.ID, target.StartedAtMs, float64(choice.Load)/float64(max(1, choice.Capacity)), choice.UncachedTokens
 	h.Meter.Count("sends", x.serviceKind(), x.distance(target))
-	h.Log.Info("request routed", "request", x.call.ID, "program", x.call.Program, "customer", x.customerName(), "route", x.route.Name, "config", x.table.Version,
+	h.Log.Info("request routed", "request", x.call.ID, "fingerprint", x.fingerprint, "program", x.call.Program, "customer", x.customerName(), "route", x.route.Name, "config", x.table.Version,
 		"target", target.ID, "software", target.SoftwareVersion, "data_centre", target.DataCentre, "load", choice.Load, "places", choice.Capacity, "report_age_ms", choice.ReportAge.Milliseconds(),
 		"slowdown", roundHundredths(choice.Slowdown), "predicted_ms", choice.Predicted.Milliseconds(), "near", choice.NearTarget, "near_predicted_ms", choice.NearPredicted.Milliseconds(),
 		"prompt", x.call.PromptTokens, "missing", choice.UncachedTokens, "candidates", choice.Candidates, "send", x.sendCount+1,
@@ -269,6 +270,7 @@
 func (x *exchange) handleSendError(ctx context.Context, t balance.TargetInfo, err error) (retry bool, _ error) {
 	f := failure.From(err)
 	x.recordOutcome(t.ID, failureOutcome(ctx, f))
+	x.addBrokenRun(ctx, t, f)
 	if f.Ran != failure.RanNo {
 		x.sendCount++
 	}
--- a/daemon/entry/handle.go
+++ b/daemon/entry/handle.go
@@ -28,6 +28,10 @@
 	// deadline is the earlier of the deadlines of caller and route.
 	deadline time.Time
 	body     []byte
+	// fingerprint is the same for all attempts of the request.
+	fingerprint string
+	// brokenRuns are the runs that were broken off since the last check.
+	brokenRuns []brokenRun
 	// held accounts for the memory that the host holds for the request.
 	held *requestMemory
 	// uploadTimedOut is set if the caller did not send its body in time. Its connection is
@@ -100,7 +104,7 @@
 		firstByteAfter = x.firstByteAt.Sub(x.startedAt)
 		m.Observe("first_event", firstByteAfter)
 	}
-	x.host.Log.Info("request answered", "request", x.call.ID, "program", x.call.Program, "target", x.targetID, "sends", x.sendCount,
+	x.host.Log.Info("request answered", "request", x.call.ID, "fingerprint", x.fingerprint, "program", x.call.Program, "target", x.targetID, "sends", x.sendCount,
 		"first_ms", firstByteAfter.Milliseconds(), "after_ms", time.Since(x.startedAt).Milliseconds(), "events", events)
 }
 
@@ -154,7 +158,11 @@
 		x.engine = s.Engine
 	}
 	x.deadline = x.startedAt.Add(effectiveTimeout(x.call.Timeout, route.Timeout))
-	return x.readBody()
+	if err := x.readBody(); err != nil {
+		return err
+	}
+	x.fingerprint = x.call.Fingerprint(x.r.Method, x.r.Host, x.r.RequestURI, x.body)
+	return nil
 }
 
 // noRouteFailure returns the failure of a request without a route. A host that may not know the newest
@@ -189,7 +197,7 @@
 	status := statusOf(f)
 	x.host.Meter.Count("requests", "failed", string(f.Kind))
 	x.host.Log.Info("request failed",
-		"request", x.call.ID, "program", x.call.Program, "customer", x.customerName(), "kind", string(f.Kind), "ran", string(f.Ran), "status", status,
+		"request", x.call.ID, "fingerprint", x.fingerprint, "program", x.call.Program, "customer", x.customerName(), "kind", string(f.Kind), "ran", string(f.Ran), "status", status,
 		"sends", x.sendCount, "target", x.targetID, "after_ms", time.Since(x.startedAt).Milliseconds(), "detail", f.Detail)
 	if x.headSent {
 		// The head was sent: only a broken connection shows that the answer is incomplete.
--- a/daemon/entry/hedge.go
+++ b/daemon/entry/hedge.go
@@ -145,7 +145,9 @@
 	h := x.host
 	switch {
 	case result.resp == nil:
-		h.recordOutcome(result.target, failureOutcome(ctx, failure.From(result.err)))
+		f := failure.From(result.err)
+		h.recordOutcome(result.target, failureOutcome(ctx, f))
+		x.addBrokenRun(ctx, result.target, f)
 		return result.err
 	case result.err == nil && result.resp.Answer.NotRun:
 		h.recordOutcome(result.target, refusalOutcome(result.resp.Answer))
@@ -159,6 +161,9 @@
 	default:
 		f := failure.Unknown(failure.BadAnswer, "answer of target %s with status %d during a hedged call: %v", result.target.ID, result.resp.Status, result.err)
 		h.recordOutcome(result.target, result.outcome(ctx, f))
+		if result.err != nil {
+			x.addBrokenRun(ctx, result.target, f)
+		}
 		return f
 	}
 }
--- a/daemon/entry/plain.go
+++ b/daemon/entry/plain.go
@@ -22,6 +22,7 @@
 	if err != nil {
 		f := failure.Unknown(failure.BadAnswer, "reading the answer body of target %s: %v", t.ID, err)
 		f.Kind = failureKind(ctx, f.Kind)
+		x.addBrokenRun(ctx, t, f)
 		x.recordOutcome(t.ID, failureOutcome(ctx, f))
 		return x.repeatable(), f
 	}
--- a/daemon/entry/reachability.go
+++ b/daemon/entry/reachability.go
@@ -36,6 +36,8 @@
 	dataCentreLastHeard map[string]time.Time
 	// dataCentreChecks holds the latest check of each data centre.
 	dataCentreChecks map[string]*dataCentreCheck
+	// connectChecks holds the check of each target that is under way.
+	connectChecks map[string]*connectCheck
 	// done is closed when the host stops and ends all probes.
 	done chan struct{}
 }
@@ -54,7 +56,7 @@
 }
 
 func newReachabilityMonitor(h *Host) *reachabilityMonitor {
-	return &reachabilityMonitor{host: h, targets: map[string]*targetReachability{}, dataCentreLastHeard: map[string]time.Time{}, dataCentreChecks: map[string]*dataCentreCheck{}, done: make(chan struct{})}
+	return &reachabilityMonitor{host: h, targets: map[string]*targetReachability{}, dataCentreLastHeard: map[string]time.Time{}, dataCentreChecks: map[string]*dataCentreCheck{}, connectChecks: map[string]*connectCheck{}, done: make(chan struct{})}
 }
 
 // targetLocked returns the state of a target, a new one if there is none. The caller holds mu.
--- a/daemon/entry/stream.go
+++ b/daemon/entry/stream.go
@@ -41,9 +41,11 @@
 		f.Kind = failureKind(ctx, f.Kind)
 		x.recordOutcome(t.ID, failureOutcome(ctx, f))
 		_ = resp.Body.Close()
+		x.addBrokenRun(ctx, t, f)
 		if !x.route.Resumable || ctx.Err() != nil {
 			return false, f
 		}
+		x.checkBrokenRuns()
 		var release context.CancelFunc
 		if t, resp, release, err = x.resume(ctx, lastEventID); err != nil {
 			return false, failure.Unknown(failure.BadAnswer, "%v; resume: %v", f, err)
@@ -140,6 +142,8 @@
 			release()
 			f := failure.From(err)
 			x.recordOutcome(t.ID, failureOutcome(ctx, f))
+			x.addBrokenRun(ctx, t, f)
+			x.checkBrokenRuns()
 			if f.Ran != failure.RanNo {
 				x.sendCount++
 			}
