--- a/ctl/roles/cluster_test.go
+++ b/ctl/roles/cluster_test.go
@@ -34,8 +34,10 @@
 	evacuationKind         = "evacuations"
 	engineService          = "engines"
 	plainService           = "orders"
-	drainGracePeriod       = 8 * time.Second
-	contactWindow          = 3 * time.Second
+	// targetExpiry is how long the platform lists a target that has crashed.
+	targetExpiry     = 2 * time.Second
+	drainGracePeriod = 8 * time.Second
+	contactWindow    = 3 * time.Second
 	// retention is short enough that history hosts with clock jumps could drop records that are
 	// still needed.
 	retention = 3 * time.Second
@@ -83,12 +85,16 @@
 	engines       []*standin.TurnEngine
 	plainTargets  []*standin.TurnEngine
 	targetServers map[string]*http.Server // by target ID
-	mu            sync.Mutex              // guards entryHosts, which callers read while faults are injected
+	mu            sync.Mutex              // guards targetServers, incarnations, and entryHosts, which callers read while faults are injected
 	entryHosts    []*entryHost
 	historyHosts  []*historyHost
 	retirements   *retirements
 	// crowded is set if h1 is in the data centre of h0.
 	crowded bool
+	// crashMarker is in the body of requests under which targets crash; empty if none do. Targets that
+	// crash are started again as new incarnations, all of which are in incarnations.
+	crashMarker  string
+	incarnations []*standin.TurnEngine
 	// maxFaults is the number of disks that may be lost at once; 0 means 1.
 	maxFaults int
 	// customers are the customers in the configuration; if there are none, callers need no keys.
@@ -246,13 +252,43 @@
 }
 
 func (c *cluster) startTarget(service string, i int) *standin.TurnEngine {
+	return c.startIncarnation(service, i, 0)
+}
+
+// startIncarnation starts a target for the n-th time. Each incarnation has an ID of its own.
+func (c *cluster) startIncarnation(service string, i, n int) *standin.TurnEngine {
 	e := &standin.TurnEngine{ID: fmt.Sprintf("%s-%d", service, i), Capacity: 8, Events: 5, EventDelay: 20 * time.Millisecond}
+	if n > 0 {
+		e.ID += fmt.Sprintf(".%d", n)
+	}
+	if c.crashMarker != "" {
+		e.CrashUnder(c.crashMarker, func() { c.restartCrashedTarget(e, service, i, n) })
+	}
 	ip := fmt.Sprintf("10.3.%d.%d", len(service), i)
-	c.targetServers[e.ID] = c.serve(ip, e)
-	c.putTarget(e.ID, service, ip, i, false)
+	server := c.serve(ip, e)
+	c.mu.Lock()
+	c.targetServers[e.ID] = server
+	c.incarnations = append(c.incarnations, e)
+	c.mu.Unlock()
+	c.putTarget(e.ID, service, ip, i%len(c.historyHosts), false)
 	return e
 }
 
+// restartCrashedTarget ends the process of a target and starts its next incarnation after some time.
+// The platform removes the entry of the former one later.
+func (c *cluster) restartCrashedTarget(e *standin.TurnEngine, service string, i, n int) {
+	c.mu.Lock()
+	server := c.targetServers[e.ID]
+	c.mu.Unlock()
+	_ = server.Close()
+	c.stops.Go(func() {
+		time.Sleep(time.Duration(20+150*((i+n)%4)) * time.Millisecond)
+		c.startIncarnation(service, i, n+1)
+		time.Sleep(targetExpiry)
+		c.store.Remove(targetKind, e.ID)
+	})
+}
+
 func (c *cluster) serve(ip string, h http.Handler) *http.Server {
 	s := &http.Server{Handler: h, ErrorLog: log.New(io.Discard).StandardLog()}
 	l := c.net.Listen(ip + ":80")
--- a/ctl/roles/invariants_test.go
+++ b/ctl/roles/invariants_test.go
@@ -53,6 +53,8 @@
 	relayOutcomes   = map[string]*relayOutcome{}
 	partitionResult *partitionOutcome
 	versionsResult  *versionsOutcome
+	// crashOutcomes are the outcomes of crashCases.
+	crashOutcomes = map[string]*crashOutcome{}
 	// keyRemovals, quotaOutcomes and evacuationOutcomes are the outcomes of customerFaults.
 	keyRemovals, quotaOutcomes = map[string]*customerOutcome{}, map[string]*customerOutcome{}
 	evacuationOutcomes         = map[string]*evacuationOutcome{}
@@ -92,6 +94,11 @@
 					evacuationOutcomes[f.name] = runEvacuation(t, f)
 				}
 			}
+			for _, cc := range crashCases {
+				if selectedCase == "" || selectedCase == cc.name {
+					crashOutcomes[cc.name] = runCrashCase(t, cc, crashSeed)
+				}
+			}
 			if selectedCase == "" {
 				membersWithoutSlots = findMembersWithoutSlots(t)
 				largeStart = startManyHistoryHosts(t)
@@ -101,7 +108,7 @@
 			}
 		})
 	})
-	require.NotZero(t, len(outcomes)+len(relayOutcomes)+len(keyRemovals))
+	require.NotZero(t, len(outcomes)+len(relayOutcomes)+len(keyRemovals)+len(crashOutcomes))
 }
 
 func runFaultCase(t *testing.T, fc faultCase) *outcome {
--- a/ctl/standin/turn_engine.go
+++ b/ctl/standin/turn_engine.go
@@ -19,6 +19,8 @@
 	At      time.Time // start
 	// Customer is the customer that the system names in its headers.
 	Customer string
+	// CrashedAt is when the engine crashed while it ran the request; zero if it did not.
+	CrashedAt time.Time
 }
 
 // TurnEngine is a stand-in for a model engine or plain service behind entry hosts. It
@@ -36,7 +38,8 @@
 	EventDelay time.Duration
 
 	mu     sync.Mutex
-	active int // requests under way
+	active map[int]bool // indices in runs of the requests under way
+	crash  crashTrigger
 	// version is written into the events if it is set.
 	version string
 	runs    []Run
@@ -92,18 +95,21 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	loseAnswer, ok := e.startRun(Run{ID: id, Program: r.Header.Get(ownheaders.Program), Body: string(body), At: time.Now(), Customer: r.Header.Get(ownheaders.Customer)})
+	index, loseAnswer, ok := e.startRun(Run{ID: id, Program: r.Header.Get(ownheaders.Program), Body: string(body), At: time.Now(), Customer: r.Header.Get(ownheaders.Customer)})
 	if !ok {
 		w.Header().Set(ownheaders.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	defer e.finishRun()
+	defer e.finishRun(index)
 	if loseAnswer {
 		time.Sleep(e.EventDelay)
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set(ownheaders.Signature, "s-"+id)
+	if e.crash.matches(string(body)) {
+		w = &crashingWriter{ResponseWriter: w, engine: e, remaining: len(body) % maxEventsBeforeCrash}
+	}
 	if r.Header.Get(ownheaders.MaxTokens) == "" {
 		e.answerPlain(w, r, id)
 		return
@@ -112,26 +118,31 @@
 }
 
 // startRun records a request that starts. ok is false if the engine is at capacity;
-// loseAnswer reports whether the connection must break in place of an answer.
-func (e *TurnEngine) startRun(run Run) (loseAnswer, ok bool) {
+// loseAnswer reports whether the connection must break in place of an answer. index is that of the
+// run in runs.
+func (e *TurnEngine) startRun(run Run) (index int, loseAnswer, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.active >= e.Capacity {
-		return false, false
+	if e.crash.crashed || len(e.active) >= e.Capacity {
+		return 0, false, false
+	}
+	index = len(e.runs)
+	if e.active == nil {
+		e.active = map[int]bool{}
 	}
-	e.active++
+	e.active[index] = true
 	e.runs = append(e.runs, run)
 	if e.answersToLose > 0 {
 		e.answersToLose--
-		return true, true
+		return index, true, true
 	}
-	return false, true
+	return index, false, true
 }
 
-func (e *TurnEngine) finishRun() {
+func (e *TurnEngine) finishRun(index int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.active--
+	delete(e.active, index)
 }
 
 func (e *TurnEngine) answerPlain(w http.ResponseWriter, r *http.Request, id string) {
