daemon/entry, core/ledger: a request is given up after three targets crashed under it, over all attempts and hosts

Cause: the limit on sends is that of one exchange at one host. Each new attempt of the caller starts anew, through this host or another one, and nothing remembered which targets the attempts before had met.

Change: a run that its target breaks off is stored at the history hosts, under the request's fingerprint, before the request is sent again or its caller gets an answer. The host finds out whether the target crashed (it accepts no connection, or is gone) or only broke the connection; only crashes count. Every attempt reads them before it is sent: turns with the read that they make anyway, other repeatable calls with a read of their own. After three crashes the answer is 502 with the type target_crashes, at once. A call whose earlier attempts cannot be read is sent unless a target of its service crashed lately; else it is refused as not run.

Why it holds at the next host: the write reaches the quorum that the next read meets.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -212,6 +212,16 @@
 	return t, true
 }
 
+// AddressHolder returns the target of a service that is listed at an address.
+func (r *Registry) AddressHolder(service, address string) (*Target, bool) {
+	for _, t := range r.serviceNamed(service).targets {
+		if t.Address == address {
+			return t, true
+		}
+	}
+	return nil, false
+}
+
 // OthersInDataCentre returns the other targets in the data centre of a target, in no particular
 // order.
 func (r *Registry) OthersInDataCentre(id string) []TargetInfo {
--- a/core/failure/failure.go
+++ b/core/failure/failure.go
@@ -60,6 +60,7 @@
 	HistoryUnavailable  Kind = "history_unavailable"
 	TargetFull          Kind = "target_full"
 	TargetGone          Kind = "target_gone"
+	TargetCrashes       Kind = "target_crashes"
 	CallerGone          Kind = "caller_gone"
 	Timeout             Kind = "timeout"
 	BadAnswer           Kind = "bad_answer"
--- /dev/null
+++ b/core/ledger/brokenrun_test.go
@@ -0,0 +1,59 @@
+package ledger
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachioarch/pistachioarch/core/historypb"
+)
+
+func brokenRun(request, target string, startedAtMs int64, crashed bool) *historypb.Record {
+	return &historypb.Record{Program: "p", ExpiresMs: 1000, Change: &historypb.Record_BrokenRun{
+		BrokenRun: &historypb.BrokenRun{Request: request, Target: target, Born: startedAtMs, Crashed: crashed},
+	}}
+}
+
+// Replicas must agree on the targets that crashed under a request in any order of the records and after
+// a copy: a host that counts fewer would send the request on.
+func TestBrokenRunsMergeInAnyOrder(t *testing.T) {
+	records := []*historypb.Record{
+		brokenRun("r", "a", 1, false), brokenRun("r", "a", 1, true), brokenRun("r", "a", 2, true), brokenRun("r", "b", 1, false),
+		brokenRun("other", "c", 1, true), reserve("p", "turn", 50),
+	}
+	nobodyGone := func(string, int64) bool { return false }
+	onlyBGone := func(target string, _ int64) bool { return target == "b" }
+	rng := rand.New(rand.NewPCG(5, 6))
+	for range 200 {
+		l, replica := New(), New()
+		for _, i := range rng.Perm(len(records)) {
+			l.Apply(records[i])
+		}
+		for _, r := range l.ProgramRecords("p") {
+			replica.Apply(r)
+		}
+		b := &BrokenRuns{}
+		b.Merge(replica.BrokenRuns("p", "r"))
+		b.Merge([]*historypb.BrokenRun{{Request: "r", Target: "a", Born: 1}}) // of a replica that does not know of the crash
+		require.Equal(t, 2, b.Crashes(nobodyGone))
+		require.Equal(t, 3, b.Crashes(onlyBGone))
+		require.Equal(t, l.Digest("p"), replica.Digest("p"))
+	}
+}
+
+// A replica that lacks a broken run, or does not know that its target crashed, must be seen to differ.
+func TestDigestDependsOnBrokenRuns(t *testing.T) {
+	digest := func(records ...*historypb.Record) uint64 {
+		l := New()
+		l.Apply(reserve("p", "turn", 50))
+		for _, r := range records {
+			l.Apply(r)
+		}
+		return l.Digest("p")
+	}
+	require.NotEqual(t, digest(), digest(brokenRun("r", "a", 1, false)))
+	require.NotEqual(t, digest(brokenRun("r", "a", 1, true)), digest(brokenRun("r", "a", 1, false)))
+	require.NotEqual(t, digest(brokenRun("r", "a", 1, true)), digest(brokenRun("r", "a", 2, true)))
+	require.NotEqual(t, digest(brokenRun("r", "a", 1, true)), digest(brokenRun("s", "a", 1, true)))
+}
--- a/core/ledger/digest.go
+++ b/core/ledger/digest.go
@@ -37,6 +37,9 @@
 	for turn := range p.turnIDs {
 		sum += mix(hashString(turn) + 3)
 	}
+	for request, runs := range p.brokenRuns {
+		sum += runs.digest(request)
+	}
 	return sum
 }
 
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -1,5 +1,5 @@
 // Package ledger holds the state of a history host: each program's budget
-// reservations and settlements, and its finished turns.
+// reservations and settlements, its finished turns, and the broken runs of its requests.
 //
 // A ledger is a set of mergeable records: a settlement supersedes the
 // reservation of the same turn, and a turn is immutable. Records may be applied
@@ -33,6 +33,8 @@
 	expiresMs int64               // in ms since the Unix epoch
 	spendings map[string]spending // by turn ID
 	turnIDs   map[string]bool     // the program's finished turns, and those of chains that it took over
+	// brokenRuns holds the broken runs of the program's requests by fingerprint; nil if there are none.
+	brokenRuns map[string]*BrokenRuns
 }
 
 // Ledger holds the records of all slots of a member. It is not safe for concurrent use.
@@ -79,6 +81,8 @@
 		p.spendings[c.Settle.Turn] = s
 	case *historypb.Record_Turn:
 		l.retainTurn(p, c.Turn)
+	case *historypb.Record_BrokenRun:
+		p.addBrokenRun(c.BrokenRun)
 	}
 }
 
@@ -226,7 +230,7 @@
 			Change: &historypb.Record_Turn{Turn: l.turns[id].turn},
 		})
 	}
-	return list
+	return append(list, p.brokenRunRecords(name)...)
 }
 
 // Expire removes the programs whose expiry is not after nowMs, in ms since the Unix epoch,
--- /dev/null
+++ b/daemon/entry/crash_limit.go
@@ -0,0 +1,152 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/core/historypb"
+	"github.com/pistachioarch/pistachioarch/core/ledger"
+	"github.com/pistachioarch/pistachioarch/core/routing"
+	"github.com/pistachioarch/pistachioarch/daemon/quorum"
+)
+
+// A request under which targets crash must not be sent to one target after the other. The targets that
+// crashed are counted over all attempts of its caller: each broken run is stored at the history hosts
+// before the request is sent again or its caller gets an answer, so that the host of the next attempt
+// knows of it.
+
+const (
+	// brokenRunWriteTimeout bounds how long a repeat, or the answer, waits until a broken run is
+	// durable. It covers the replacement of a history host as writer.
+	brokenRunWriteTimeout = 300 * time.Millisecond
+	// brokenRunReadTimeout bounds how long a call waits for the broken runs of its earlier attempts.
+	brokenRunReadTimeout = 100 * time.Millisecond
+)
+
+// limitsCrashes reports whether the targets that crash under the request are counted. A request that
+// must not run twice is not repeated, by this host or its caller.
+func (x *exchange) limitsCrashes() bool { return x.route.Kind != routing.AtMostOnce }
+
+// brokenRunProgram returns the program name under which the broken runs of the request are stored: its
+// program, or a name of its own outside of programs.
+func (x *exchange) brokenRunProgram() string {
+	if x.call.Program != "" {
+		return x.budgetProgram()
+	}
+	return x.customerScoped("request\x00" + x.fingerprint)
+}
+
+// awaitBrokenRuns reads the broken runs of earlier attempts of a call, and returns the failure of a call
+// that must not be sent. If they cannot be read, the call is sent only if no target of its service has
+// crashed lately as far as the host knows.
+func (x *exchange) awaitBrokenRuns(ctx context.Context) error {
+	if !x.limitsCrashes() {
+		return nil
+	}
+	if err := x.readBrokenRunsInTime(ctx); err != nil {
+		x.host.Meter.Count("broken_runs", "not_read")
+		if x.host.lastCrashes.isRecent(x.service) {
+			return failure.Retry(failure.HistoryUnavailable, x.historyRetryDelay(), "broken runs of earlier attempts: %v", err)
+		}
+	}
+	return x.crashLimitFailure()
+}
+
+// readBrokenRunsInTime is readBrokenRuns within brokenRunReadTimeout. It fails at once if the history
+// hosts are known to be unreachable.
+func (x *exchange) readBrokenRunsInTime(ctx context.Context) error {
+	if !x.host.History.IsServable(x.brokenRunProgram()) {
+		return failure.New(failure.HistoryUnavailable, "history hosts of the request are unreachable")
+	}
+	ctx, cancel := context.WithTimeout(ctx, brokenRunReadTimeout)
+	defer cancel()
+	return x.readBrokenRuns(ctx)
+}
+
+// readBrokenRuns adds the broken runs of all attempts of the request that are stored.
+func (x *exchange) readBrokenRuns(ctx context.Context) error {
+	history, err := x.host.History.ReadQuery(ctx, quorum.Query{Program: x.brokenRunProgram(), Request: x.fingerprint})
+	if err != nil {
+		return err
+	}
+	x.brokenRuns.Merge(history.BrokenRuns)
+	return nil
+}
+
+// crashes returns the number of targets known to have crashed under the request.
+func (x *exchange) crashes() int { return x.brokenRuns.Crashes(x.host.departures.contains) }
+
+// crashLimitFailure returns the final failure of a request under which too many targets crashed, else
+// nil.
+func (x *exchange) crashLimitFailure() error {
+	crashes := x.crashes()
+	if crashes < ledger.MaxCrashes {
+		return nil
+	}
+	x.host.Meter.Count("requests", "given_up")
+	return failure.Unknown(failure.TargetCrashes, "%d targets crashed while they ran the request", crashes)
+}
+
+// recordBrokenRuns makes new broken runs durable. It returns a failure if the request must not be sent
+// again: too many targets crashed under it, or that one has crashed could not be stored.
+func (x *exchange) recordBrokenRuns() error {
+	runs := x.takeBrokenRuns()
+	if len(runs) == 0 || !x.limitsCrashes() {
+		return nil
+	}
+	x.brokenRuns.Merge(runs)
+	err := x.storeBrokenRuns(runs)
+	if limit := x.crashLimitFailure(); limit != nil {
+		return limit
+	}
+	crashed := slices.ContainsFunc(runs, func(r *historypb.BrokenRun) bool { return r.Crashed })
+	if err != nil && crashed {
+		return failure.Unknown(failure.HistoryUnavailable, "crash of a target not stored: %v", err)
+	}
+	return nil
+}
+
+// storeBrokenRuns stores broken runs and adds those that other hosts stored meanwhile. It does not
+// depend on the caller: one that leaves comes back through another host.
+func (x *exchange) storeBrokenRuns(runs []*historypb.BrokenRun) error {
+	ctx, cancel := context.WithTimeout(context.Background(), brokenRunWriteTimeout)
+	defer cancel()
+	records := brokenRunRecords(runs)
+	if err := x.writeBrokenRuns(ctx, records); err != nil {
+		x.host.Meter.Count("broken_runs", "not_stored")
+		x.host.Log.Warn("broken runs not stored in time", "request", x.call.ID, "fingerprint", x.fingerprint, "error", err.Error())
+		x.storeBrokenRunsLater(runs)
+		return err
+	}
+	return x.readBrokenRuns(ctx)
+}
+
+// writeBrokenRuns writes records of broken runs, unless the history hosts are known to be unreachable.
+func (x *exchange) writeBrokenRuns(ctx context.Context, records []*historypb.Record) error {
+	return x.host.History.WriteUnlessUnreachable(ctx, 0, x.brokenRunProgram(), x.retention(), records...)
+}
+
+// storeBrokenRunsLater tries on to store broken runs in the background, for recentCrashWindow.
+func (x *exchange) storeBrokenRunsLater(runs []*historypb.BrokenRun) {
+	if !x.host.History.Ready() {
+		return
+	}
+	x.host.background.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), recentCrashWindow)
+		defer cancel()
+		if err := x.host.History.Write(ctx, x.brokenRunProgram(), x.retention(), brokenRunRecords(runs)...); err != nil {
+			x.host.Log.Warn("broken runs not stored", "request", x.call.ID, "fingerprint", x.fingerprint, "error", err.Error())
+		}
+	})
+}
+
+// brokenRunRecords returns a record of each run. A record belongs to one write.
+func brokenRunRecords(runs []*historypb.BrokenRun) []*historypb.Record {
+	records := make([]*historypb.Record, 0, len(runs))
+	for _, r := range runs {
+		records = append(records, &historypb.Record{Change: &historypb.Record_BrokenRun{BrokenRun: r}})
+	}
+	return records
+}
--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -68,7 +68,9 @@
 		if err == nil {
 			return nil
 		}
-		x.checkBrokenRuns()
+		if limit := x.recordBrokenRuns(); limit != nil {
+			return limit
+		}
 		reported = failureToReport(reported, err)
 		if !retry || ctx.Err() != nil {
 			return reported
--- a/daemon/entry/handle.go
+++ b/daemon/entry/handle.go
@@ -30,8 +30,10 @@
 	body     []byte
 	// fingerprint is the same for all attempts of the request.
 	fingerprint string
-	// brokenRuns are the runs that were broken off since the last check.
-	brokenRuns []brokenRun
+	// newBrokenRuns are the runs that targets broke off and that are not in brokenRuns yet, which
+	// holds those of all attempts as far as they are known.
+	newBrokenRuns []brokenRun
+	brokenRuns    ledger.BrokenRuns
 	// held accounts for the memory that the host holds for the request.
 	held *requestMemory
 	// uploadTimedOut is set if the caller did not send its body in time. Its connection is
@@ -126,6 +128,9 @@
 	if err := x.bindTakenUpStream(&ledger.Usage{}); err != nil {
 		return err
 	}
+	if err := x.awaitBrokenRuns(ctx); err != nil {
+		return err
+	}
 	if err := x.awaitQuotaToken(ctx); err != nil {
 		return err
 	}
--- a/daemon/entry/host.go
+++ b/daemon/entry/host.go
@@ -86,6 +86,8 @@
 	pool            *targetpool.Pool
 	targetBytes     targetByteCounters
 	reachability    *reachabilityMonitor
+	departures      departures
+	lastCrashes     lastCrashes
 	startedAt       time.Time
 	loadExchanger   *loadExchanger
 
--- a/daemon/entry/stream.go
+++ b/daemon/entry/stream.go
@@ -45,9 +45,13 @@
 		if !x.route.Resumable || ctx.Err() != nil {
 			return false, f
 		}
-		x.checkBrokenRuns()
+		if limit := x.recordBrokenRuns(); limit != nil {
+			return false, limit
+		}
 		var release context.CancelFunc
-		if t, resp, release, err = x.resume(ctx, lastEventID); err != nil {
+		if t, resp, release, err = x.resume(ctx, lastEventID); failure.Is(err, failure.TargetCrashes) {
+			return false, err
+		} else if err != nil {
 			return false, failure.Unknown(failure.BadAnswer, "%v; resume: %v", f, err)
 		}
 		defer release()
@@ -143,7 +147,9 @@
 			f := failure.From(err)
 			x.recordOutcome(t.ID, failureOutcome(ctx, f))
 			x.addBrokenRun(ctx, t, f)
-			x.checkBrokenRuns()
+			if limit := x.recordBrokenRuns(); limit != nil {
+				return balance.TargetInfo{}, nil, nil, limit
+			}
 			if f.Ran != failure.RanNo {
 				x.sendCount++
 			}
--- a/daemon/entry/turn.go
+++ b/daemon/entry/turn.go
@@ -100,7 +100,8 @@
 }
 
 // begin reserves the maximum number of tokens that the turn can generate, then reads the
-// reservations of all turns of the program and the chain of turns that this one continues.
+// reservations of all turns of the program, the chain of turns that this one continues and the broken
+// runs of its earlier attempts.
 func (t *turn) begin(ctx context.Context) error {
 	x := t.x
 	if !x.host.History.IsServable(x.budgetProgram()) || !x.host.History.IsServable(t.historyProgram) {
@@ -119,6 +120,10 @@
 	if programHistory, err = t.checkBudget(ctx, programHistory); err != nil {
 		return err
 	}
+	x.brokenRuns.Merge(programHistory.BrokenRuns)
+	if err := x.crashLimitFailure(); err != nil {
+		return err
+	}
 	if err := x.bindTakenUpStream(&programHistory.Usage); err != nil {
 		return err
 	}
@@ -143,9 +148,9 @@
 		previous = x.customerScoped(x.call.PreviousTurn)
 	}
 	if t.historyProgram == x.budgetProgram() || previous == "" {
-		return x.host.History.Read(ctx, x.budgetProgram(), previous, x.programPartIDs()...)
+		return x.host.History.ReadQuery(ctx, quorum.Query{Program: x.budgetProgram(), Turn: previous, Parts: x.programPartIDs(), Request: x.fingerprint})
 	}
-	budgetHistory, err := x.host.History.Read(ctx, x.budgetProgram(), "", x.programPartIDs()...)
+	budgetHistory, err := x.host.History.ReadQuery(ctx, quorum.Query{Program: x.budgetProgram(), Parts: x.programPartIDs(), Request: x.fingerprint})
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/entry/view.go
+++ b/daemon/entry/view.go
@@ -173,6 +173,9 @@
 	}
 	v.host.mu.Lock()
 	old, known := v.host.registry.Target(info.ID)
+	if !known {
+		v.recordPredecessor(info)
+	}
 	changed := !known || old.Draining != info.Draining || old.StartedAtMs != info.StartedAtMs
 	restarted := v.host.registry.SetTarget(info)
 	v.host.registry.SetColdFor(info.ID, info.ColdFor, v.host.now())
@@ -181,20 +184,36 @@
 		v.host.Log.Info("target listed", "target", info.ID, "service", info.Service, "draining", info.Draining, "born", info.StartedAtMs, "cold_ms", info.ColdFor.Milliseconds(), "renewed", restarted)
 	}
 	if restarted {
+		v.host.departures.add(old.ID, old.StartedAtMs)
 		v.host.pool.CloseIdle(old.Address)
 		v.host.reachability.handleRestart(info.ID)
 	}
 }
 
+// recordPredecessor records the crash of a target whose address a new one has taken over. The platform
+// lists the former one for some time. The caller holds the mu of host.
+func (v *TargetView) recordPredecessor(info balance.TargetInfo) {
+	predecessor, found := v.host.registry.AddressHolder(info.Service, info.Address)
+	if !found {
+		return
+	}
+	v.host.departures.add(predecessor.ID, predecessor.StartedAtMs)
+	v.host.lastCrashes.record(info.Service)
+}
+
 // remove takes a target out of use because it is no longer listed or its entry cannot be
 // decoded.
 func (v *TargetView) remove(id string) {
 	v.host.mu.Lock()
-	_, known := v.host.registry.Target(id)
+	old, known := v.host.registry.Target(id)
 	v.host.registry.Remove(id)
 	v.host.mu.Unlock()
 	v.host.reachability.forget(id)
 	if known {
+		v.host.departures.add(id, old.StartedAtMs)
+		if !old.Draining {
+			v.host.lastCrashes.record(old.Service)
+		}
 		v.host.Log.Info("target gone", "target", id)
 	}
 }
--- a/daemon/history/server.go
+++ b/daemon/history/server.go
@@ -307,7 +307,7 @@
 	return s.slotMap.Slots[req.Slot].ChangedEpoch
 }
 
-// read returns the spending, the turns and the runs of a program.
+// read returns the spending, the turns and the runs of a program, and the broken runs of a request.
 func (s *Server) read(r *historypb.Read) *historypb.Reply {
 	s.meter.Count("reads")
 	s.mu.Lock()
@@ -317,6 +317,8 @@
 		Spending: s.ledger.Spending(r.Program),
 		Chain:    s.ledger.Chain(r.Turn),
 		Ran:      s.ledger.LongestRuns(r.Program, r.Parts),
+
+		BrokenRuns: s.ledger.BrokenRuns(r.Program, r.Request),
 	}
 }
 
--- a/daemon/quorum/incomplete_test.go
+++ b/daemon/quorum/incomplete_test.go
@@ -52,6 +52,6 @@
 		}
 	}
 	require.True(t, failure.Is(c.writeOnce(t.Context(), []*historypb.Record{record}), failure.HistoryUnavailable))
-	_, err = c.readOnce(t.Context(), "p", "", nil)
+	_, err = c.readOnce(t.Context(), Query{Program: "p", Turn: ""})
 	require.True(t, failure.Is(err, failure.HistoryUnavailable), "%v", err)
 }
--- a/daemon/quorum/read.go
+++ b/daemon/quorum/read.go
@@ -19,6 +19,8 @@
 	Chain []*historypb.Turn
 	// Runs lists the targets that have run prompts which end with one of the requested parts.
 	Runs []*historypb.Ran
+	// BrokenRuns are the broken runs of the requested request.
+	BrokenRuns []*historypb.BrokenRun
 	// ChainInOtherProgram reports that turns of the chain are not in the program's slot: another
 	// program stored them.
 	ChainInOtherProgram bool
@@ -29,9 +31,25 @@
 // context ends. It fails with UnknownTurn only if enough replicas of every slot that could hold
 // the turn have answered, and with HistoryUnavailable if too few replicas answered.
 func (c *Client) Read(ctx context.Context, program, turn string, parts ...string) (*ProgramHistory, error) {
+	return c.ReadQuery(ctx, Query{Program: program, Turn: turn, Parts: parts})
+}
+
+// Query says what is read of a program.
+type Query struct {
+	Program string
+	// Turn is the last turn of the chain to be read; empty for none.
+	Turn string
+	// Parts are the parts of prompts for which the targets that ran them are read.
+	Parts []string
+	// Request is the fingerprint of the request whose broken runs are read; empty for none.
+	Request string
+}
+
+// ReadQuery is Read for a Query, and also returns the broken runs of a request.
+func (c *Client) ReadQuery(ctx context.Context, q Query) (*ProgramHistory, error) {
 	startedAt := time.Now()
 	for {
-		history, err := c.readOnce(ctx, program, turn, parts)
+		history, err := c.readOnce(ctx, q)
 		if err == nil || failure.Is(err, failure.UnknownTurn) {
 			c.meter.Observe("history_read", time.Since(startedAt))
 			return history, err
@@ -43,19 +61,19 @@
 	}
 }
 
-func (c *Client) readOnce(ctx context.Context, program, turn string, parts []string) (*ProgramHistory, error) {
+func (c *Client) readOnce(ctx context.Context, q Query) (*ProgramHistory, error) {
 	m := c.currentMap()
 	if m == nil || !m.IsAssigned() {
 		return nil, failure.New(failure.HistoryUnavailable, "no slot map")
 	}
-	slot, ok := m.Slot(program)
+	slot, ok := m.Slot(q.Program)
 	if !ok {
-		return nil, failure.New(failure.HistoryUnavailable, "no member in the region of %q", program)
+		return nil, failure.New(failure.HistoryUnavailable, "no member in the region of %q", q.Program)
 	}
 	history := &ProgramHistory{}
 	turns := map[string]*historypb.Turn{}
 	// The first replica to be asked sends the chain, and so do those that are asked because it
-	// fails or is late; the others only confirm the budget. The same holds for the targets of
+	// fails or is late; the others only confirm the budget and the broken runs. The same holds for the targets of
 	// earlier turns if the slot allows a quorum first, since the first replica of such a slot
 	// knows them as well as the others.
 	first, firstReplied := "", false
@@ -64,22 +82,23 @@
 			first = member
 		}
 		if member == first || additional && !firstReplied {
-			return &historypb.Read{Program: program, Turn: turn, Parts: parts}
+			return &historypb.Read{Program: q.Program, Turn: q.Turn, Parts: q.Parts, Request: q.Request}
 		}
 		if m.AllowsQuorumFirst(int(slot)) {
-			return &historypb.Read{Program: program}
+			return &historypb.Read{Program: q.Program, Request: q.Request}
 		}
-		return &historypb.Read{Program: program, Parts: parts}
+		return &historypb.Read{Program: q.Program, Parts: q.Parts, Request: q.Request}
 	}, func(member string, r *historypb.Reply) {
 		firstReplied = firstReplied || member == first
 		history.Usage.Merge(r.Spending)
 		history.Runs = append(history.Runs, r.Ran...)
+		history.BrokenRuns = append(history.BrokenRuns, r.BrokenRuns...)
 		addTurns(turns, r.Chain)
 	})
 	if err != nil {
 		return nil, err
 	}
-	missing := history.link(turn, turns)
+	missing := history.link(q.Turn, turns)
 	for missing != "" {
 		if err := c.findTurn(ctx, m, slot, missing, turns); err != nil {
 			return nil, err
@@ -90,7 +109,7 @@
 				return nil, err
 			}
 		}
-		missing = history.link(turn, turns)
+		missing = history.link(q.Turn, turns)
 	}
 	return history, nil
 }
