daemon/entry: tests of the crash limit; a request outside of programs that is served often is not given up

Requests outside of programs have no caller's name: several callers may send the same, and one that is sent often is also often at work where targets crash.

Tests: the next host knows of crashes, also outside of programs; broken connections of targets that serve on do not count; targets that are gone later do; a crash that cannot be stored is not followed by another send. The list of requests in ctl/roles is guarded (race detector; test only).

--- a/ctl/roles/crashes_test.go
+++ b/ctl/roles/crashes_test.go
@@ -102,7 +102,7 @@
 	crashes, runs []time.Time
 }
 
-// crashes reports whether targets crash under the request.
+// crashesTargets reports whether targets crash under the request.
 func (q *repeatedRequest) crashesTargets() bool { return strings.Contains(q.body, crashMarker) }
 
 // runsAfterLastAllowedCrash returns how many runs began after maxCrashes targets had crashed.
@@ -154,7 +154,9 @@
 		r := rand.New(rand.NewPCG(seed, uint64(1000+n)))
 		q := &repeatedRequest{program: fmt.Sprintf("c%d", n), path: repeatablePaths[n%len(repeatablePaths)], body: crashMarker + strings.Repeat("x", r.IntN(3))}
 		crashing.Go(func() { k.sendRepeatedly(q, r.IntN(4), r) })
+		k.mu.Lock()
 		o.requests = append(o.requests, q)
+		k.mu.Unlock()
 		time.Sleep(cc.interval)
 	}
 	crashing.Wait()
--- a/daemon/entry/crash_limit.go
+++ b/daemon/entry/crash_limit.go
@@ -82,7 +82,7 @@
 // nil.
 func (x *exchange) crashLimitFailure() error {
 	crashes := x.crashes()
-	if crashes < ledger.MaxCrashes {
+	if crashes < ledger.MaxCrashes || x.call.Program == "" && x.host.served.contains(x.fingerprint) {
 		return nil
 	}
 	x.host.Meter.Count("requests", "given_up")
--- /dev/null
+++ b/daemon/entry/crash_limit_test.go
@@ -0,0 +1,140 @@
+package entry
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachioarch/pistachioarch/core/balance"
+	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/core/ledger"
+	"github.com/pistachioarch/pistachioarch/wire/objects"
+	"github.com/pistachioarch/pistachioarch/wire/ownheaders"
+)
+
+// breakConnection closes the connection of every request without an answer.
+func breakConnection(int, received, string) (string, bool) { return "", true }
+
+// newCrashingTarget starts a target that crashes at its first request: it closes the connection and
+// accepts no further one.
+func newCrashingTarget(t *testing.T, id string) *fakeTarget {
+	var x *fakeTarget
+	started := make(chan struct{})
+	x = newFakeTarget(t, id, func(int, received, string) (string, bool) {
+		<-started
+		_ = x.listener.Close()
+		return "", true
+	})
+	close(started)
+	return x
+}
+
+// startTargets starts n targets called t0, t1 and so on.
+func startTargets(t *testing.T, n int, start func(t *testing.T, id string) *fakeTarget) []*fakeTarget {
+	var list []*fakeTarget
+	for i := range n {
+		list = append(list, start(t, "t"+strconv.Itoa(i)))
+	}
+	return list
+}
+
+// callRepeatedly sends n attempts of one idempotent call and returns the answers.
+func (s *testSystem) callRepeatedly(n int, headers ...string) []answer {
+	var answers []answer
+	for i := range n {
+		answers = append(answers, s.post("/plain/x", "in", append(headers, ownheaders.ID, "a"+strconv.Itoa(i))...))
+	}
+	return answers
+}
+
+// sendCount returns the number of requests that the targets received.
+func sendCount(targets []*fakeTarget) int {
+	count := 0
+	for _, x := range targets {
+		count += len(x.requests())
+	}
+	return count
+}
+
+func isGivenUp(a answer) bool {
+	return a.status == http.StatusBadGateway && a.body == string(failure.TargetCrashes)+"\n"
+}
+
+// A request under which targets crashed must not be sent on at a host that has just started.
+func TestNextHostKnowsOfCrashedTargets(t *testing.T) {
+	for name, headers := range map[string][]string{"of a program": {ownheaders.Program, "p"}, "outside of programs": nil} {
+		t.Run(name, func(t *testing.T) {
+			targets := startTargets(t, 6, newCrashingTarget)
+			s := newSystem(t, targets...)
+			require.False(t, isGivenUp(s.callRepeatedly(1, headers...)[0]))
+			require.Equal(t, 2, sendCount(targets))
+			s.addHost()
+			list(s.host, nil, targets...)
+			for _, a := range s.callRepeatedly(4, headers...) {
+				require.True(t, isGivenUp(a), "%+v", a)
+				require.Empty(t, a.header.Get("Retry-After"))
+			}
+			require.Equal(t, ledger.MaxCrashes, sendCount(targets))
+		})
+	}
+}
+
+// Targets that break connections but serve on have not crashed: their requests must not be given up.
+func TestBrokenConnectionsAreNotCrashes(t *testing.T) {
+	targets := startTargets(t, 6, func(t *testing.T, id string) *fakeTarget { return newFakeTarget(t, id, breakConnection) })
+	s := newSystem(t, targets...)
+	for _, a := range s.callRepeatedly(4, ownheaders.Program, "p") {
+		require.False(t, isGivenUp(a))
+	}
+	require.Greater(t, sendCount(targets), ledger.MaxCrashes)
+}
+
+// A target that the platform lists no more has crashed, though its address accepted a connection after
+// it broke a run off: the next incarnation may have it.
+func TestTargetsThatAreGoneLaterHaveCrashed(t *testing.T) {
+	targets := startTargets(t, 4, func(t *testing.T, id string) *fakeTarget { return newFakeTarget(t, id, breakConnection) })
+	s := newSystem(t, targets...)
+	s.callRepeatedly(2, ownheaders.Program, "p")
+	before := sendCount(targets)
+	require.GreaterOrEqual(t, before, ledger.MaxCrashes)
+	view := NewTargetView(s.host, nil)
+	for _, x := range targets {
+		view.Changed(objects.Changes{Events: []objects.Event{{Object: objects.Object{Name: x.id}, Removed: true}}})
+	}
+	next := newFakeTarget(t, "next", func(_ int, _ received, id string) (string, bool) { return okAnswer(id, "ok"), false })
+	s.host.mu.Lock()
+	s.host.registry.SetTarget(balance.TargetInfo{ID: next.id, Service: "s", Address: next.listener.Addr().String(), DataCentre: "dc1", Capacity: 4})
+	s.host.mu.Unlock()
+	require.True(t, isGivenUp(s.callRepeatedly(1, ownheaders.Program, "p")[0]))
+	require.Empty(t, next.requests())
+}
+
+// A request that targets answer again and again is not the cause of crashes beside it.
+func TestRequestThatIsServedOftenIsNotGivenUp(t *testing.T) {
+	serving := newFakeTarget(t, "serving", func(_ int, _ received, id string) (string, bool) { return okAnswer(id, "ok"), false })
+	s := newSystem(t, serving)
+	require.Equal(t, http.StatusOK, s.callRepeatedly(1)[0].status)
+	s.host.mu.Lock()
+	s.host.registry.Remove(serving.id)
+	s.host.mu.Unlock()
+	crashing := startTargets(t, 4, newCrashingTarget)
+	list(s.host, nil, crashing...)
+	s.callRepeatedly(2)
+	require.Equal(t, 4, sendCount(crashing))
+	list(s.host, nil, serving)
+	require.Equal(t, http.StatusOK, s.callRepeatedly(1)[0].status)
+}
+
+// A crash that the next host cannot learn of must not be followed by another send.
+func TestRequestIsNotRepeatedIfCrashIsNotStored(t *testing.T) {
+	targets := startTargets(t, 4, newCrashingTarget)
+	s := newSystem(t, targets...)
+	for _, m := range s.members {
+		m.silent.Store(true)
+	}
+	a := s.callRepeatedly(1, ownheaders.Program, "p")[0]
+	require.Equal(t, http.StatusBadGateway, a.status)
+	require.Equal(t, 1, sendCount(targets))
+}
--- a/daemon/entry/handle.go
+++ b/daemon/entry/handle.go
@@ -98,6 +98,9 @@
 	firstByteAfter, events := time.Duration(0), int64(0)
 	m := x.host.Meter
 	m.Count("requests", "answered")
+	if x.call.Program == "" {
+		x.host.served.add(x.fingerprint)
+	}
 	m.Observe("request", time.Since(x.startedAt))
 	if x.turn != nil {
 		events = x.turn.eventCount
