daemon/entry, core/ledger: runs after a crash are announced, so that the next host finds out how they ended

Cause: the crash was known to that host alone, which could not store it.

Change: once a target has crashed under a request, each further run is stored before it is sent, as one whose end is unknown. Where such a run decides, the next host connects to its target.

--- a/core/ledger/brokenrun.go
+++ b/core/ledger/brokenrun.go
@@ -12,41 +12,65 @@
 	startedAtMs int64
 }
 
-// BrokenRuns are the runs of one request that targets broke off, over all its attempts and merged
-// from several replicas. The zero value is ready to use.
+// BrokenRuns are the runs of one request that targets broke off or may have broken off, over all its
+// attempts and merged from several replicas. The zero value is ready to use.
 type BrokenRuns struct {
-	// crashed tells for each target whether it was found to have crashed.
-	crashed map[incarnation]bool
+	ends map[incarnation]historypb.RunEnd
 }
 
-// Merge adds broken runs. A target that was found to have crashed once has crashed.
+// Merge adds broken runs. What is known of the end of a run supersedes what is less certain.
 func (b *BrokenRuns) Merge(runs []*historypb.BrokenRun) {
-	if b.crashed == nil && len(runs) > 0 {
-		b.crashed = make(map[incarnation]bool, len(runs))
+	if b.ends == nil && len(runs) > 0 {
+		b.ends = make(map[incarnation]historypb.RunEnd, len(runs))
 	}
 	for _, r := range runs {
 		key := incarnation{r.Target, r.Born}
-		b.crashed[key] = b.crashed[key] || r.Crashed
+		b.ends[key] = max(b.ends[key], r.End)
 	}
 }
 
-// Crashes returns the number of targets that crashed while they ran the request: those found to
-// have crashed then, and those that are gone by now.
-func (b *BrokenRuns) Crashes(isGone func(target string, startedAtMs int64) bool) int {
+// Known reports whether there is any broken run.
+func (b *BrokenRuns) Known() bool { return len(b.ends) > 0 }
+
+// Confirmed returns the number of targets that were found to have crashed.
+func (b *BrokenRuns) Confirmed() int {
 	count := 0
-	for key, crashed := range b.crashed {
-		if crashed || isGone(key.target, key.startedAtMs) {
+	for _, end := range b.ends {
+		if end == historypb.RunEnd_RUN_END_CRASHED {
 			count++
 		}
 	}
 	return count
 }
 
+// ExceedCrashes reports whether MaxCrashes targets crashed while they ran the request: those found to
+// have crashed then, and those that are gone by now. isGone is only called if it decides.
+func (b *BrokenRuns) ExceedCrashes(isGone func(target string, startedAtMs int64) bool) bool {
+	count := b.Confirmed()
+	if len(b.ends) < MaxCrashes {
+		return false
+	}
+	for key, end := range b.ends {
+		if count >= MaxCrashes {
+			break
+		}
+		if mayHaveCrashed(end) && isGone(key.target, key.startedAtMs) {
+			count++
+		}
+	}
+	return count >= MaxCrashes
+}
+
+// mayHaveCrashed reports whether the target of a run with this end may have crashed unnoticed.
+func mayHaveCrashed(end historypb.RunEnd) bool {
+	return end == historypb.RunEnd_RUN_END_UNKNOWN || end == historypb.RunEnd_RUN_END_BROKEN
+}
+
 // records returns the broken runs as records of a request, in no order.
 func (b *BrokenRuns) records(request string) []*historypb.BrokenRun {
-	list := make([]*historypb.BrokenRun, 0, len(b.crashed))
-	for key, crashed := range b.crashed {
-		list = append(list, &historypb.BrokenRun{Request: request, Target: key.target, Born: key.startedAtMs, Crashed: crashed})
+	list := make([]*historypb.BrokenRun, 0, len(b.ends))
+	for key, end := range b.ends {
+		list = append(list, &historypb.BrokenRun{Request: request, Target: key.target, Born: key.startedAtMs, End: end})
 	}
 	return list
 }
@@ -54,12 +78,8 @@
 // digest returns a hash of the broken runs of a request that does not depend on their order.
 func (b *BrokenRuns) digest(request string) uint64 {
 	sum := uint64(0)
-	for key, crashed := range b.crashed {
-		state := uint64(1)
-		if crashed {
-			state = 2
-		}
-		sum += mix(hashString(request) ^ mix(hashString(key.target)+state) ^ uint64(key.startedAtMs))
+	for key, end := range b.ends {
+		sum += mix(hashString(request) ^ mix(hashString(key.target)+uint64(end)) ^ uint64(key.startedAtMs))
 	}
 	return sum
 }
--- a/core/ledger/brokenrun_test.go
+++ b/core/ledger/brokenrun_test.go
@@ -9,9 +9,16 @@
 	"github.com/pistachioarch/pistachioarch/core/historypb"
 )
 
-func brokenRun(request, target string, startedAtMs int64, crashed bool) *historypb.Record {
+const (
+	unknown = historypb.RunEnd_RUN_END_UNKNOWN
+	notRun  = historypb.RunEnd_RUN_END_NOT_RUN
+	broken  = historypb.RunEnd_RUN_END_BROKEN
+	crashed = historypb.RunEnd_RUN_END_CRASHED
+)
+
+func brokenRun(request, target string, startedAtMs int64, end historypb.RunEnd) *historypb.Record {
 	return &historypb.Record{Program: "p", ExpiresMs: 1000, Change: &historypb.Record_BrokenRun{
-		BrokenRun: &historypb.BrokenRun{Request: request, Target: target, Born: startedAtMs, Crashed: crashed},
+		BrokenRun: &historypb.BrokenRun{Request: request, Target: target, Born: startedAtMs, End: end},
 	}}
 }
 
@@ -19,11 +26,12 @@
 // a copy: a host that counts fewer would send the request on.
 func TestBrokenRunsMergeInAnyOrder(t *testing.T) {
 	records := []*historypb.Record{
-		brokenRun("r", "a", 1, false), brokenRun("r", "a", 1, true), brokenRun("r", "a", 2, true), brokenRun("r", "b", 1, false),
-		brokenRun("other", "c", 1, true), reserve("p", "turn", 50),
+		brokenRun("r", "a", 1, broken), brokenRun("r", "a", 1, crashed), brokenRun("r", "a", 2, crashed), brokenRun("r", "b", 1, broken),
+		brokenRun("r", "d", 1, unknown), brokenRun("r", "d", 1, notRun), brokenRun("other", "c", 1, crashed), reserve("p", "turn", 50),
 	}
 	nobodyGone := func(string, int64) bool { return false }
-	onlyBGone := func(target string, _ int64) bool { return target == "b" }
+	bAndDGone := func(target string, _ int64) bool { return target != "a" }
+	onlyDGone := func(target string, _ int64) bool { return target == "d" }
 	rng := rand.New(rand.NewPCG(5, 6))
 	for range 200 {
 		l, replica := New(), New()
@@ -36,8 +44,10 @@
 		b := &BrokenRuns{}
 		b.Merge(replica.BrokenRuns("p", "r"))
 		b.Merge([]*historypb.BrokenRun{{Request: "r", Target: "a", Born: 1}}) // of a replica that does not know of the crash
-		require.Equal(t, 2, b.Crashes(nobodyGone))
-		require.Equal(t, 3, b.Crashes(onlyBGone))
+		require.Equal(t, 2, b.Confirmed())
+		require.False(t, b.ExceedCrashes(nobodyGone))
+		require.False(t, b.ExceedCrashes(onlyDGone), "target d has not run the request")
+		require.True(t, b.ExceedCrashes(bAndDGone))
 		require.Equal(t, l.Digest("p"), replica.Digest("p"))
 	}
 }
@@ -52,8 +62,8 @@
 		}
 		return l.Digest("p")
 	}
-	require.NotEqual(t, digest(), digest(brokenRun("r", "a", 1, false)))
-	require.NotEqual(t, digest(brokenRun("r", "a", 1, true)), digest(brokenRun("r", "a", 1, false)))
-	require.NotEqual(t, digest(brokenRun("r", "a", 1, true)), digest(brokenRun("r", "a", 2, true)))
-	require.NotEqual(t, digest(brokenRun("r", "a", 1, true)), digest(brokenRun("s", "a", 1, true)))
+	require.NotEqual(t, digest(), digest(brokenRun("r", "a", 1, broken)))
+	require.NotEqual(t, digest(brokenRun("r", "a", 1, crashed)), digest(brokenRun("r", "a", 1, broken)))
+	require.NotEqual(t, digest(brokenRun("r", "a", 1, crashed)), digest(brokenRun("r", "a", 2, crashed)))
+	require.NotEqual(t, digest(brokenRun("r", "a", 1, crashed)), digest(brokenRun("s", "a", 1, crashed)))
 }
--- a/daemon/entry/broken_run.go
+++ b/daemon/entry/broken_run.go
@@ -8,10 +8,12 @@
 	"github.com/pistachioarch/pistachioarch/core/historypb"
 )
 
-// brokenRun is a run of a request whose target broke it off, before or within the answer.
+// brokenRun is a run of a request whose target broke it off, before or within the answer, or which was
+// announced and then did not begin.
 type brokenRun struct {
 	target balance.TargetInfo
 	reason string
+	notRun bool
 }
 
 // isBrokenRun reports whether a failed send is a run that its target broke off. Runs that ended
@@ -20,32 +22,60 @@
 	return ctx.Err() == nil && f.Ran != failure.RanNo && (f.Kind == failure.TargetFailed || f.Kind == failure.BadAnswer)
 }
 
-// addBrokenRun notes a failed send if it is a run that its target broke off.
+// addBrokenRun notes a failed send if it is a run that its target broke off, or one that was announced
+// and did not begin.
 func (x *exchange) addBrokenRun(ctx context.Context, t balance.TargetInfo, f *failure.Failure) {
-	if isBrokenRun(ctx, f) {
-		x.newBrokenRuns = append(x.newBrokenRuns, brokenRun{target: t, reason: f.Detail})
+	notRun := f.Ran == failure.RanNo && x.announcedTarget == t.ID
+	if notRun || isBrokenRun(ctx, f) {
+		x.newBrokenRuns = append(x.newBrokenRuns, brokenRun{target: t, reason: f.Detail, notRun: notRun})
 	}
 }
 
-// takeBrokenRuns returns the runs noted since the last call, each with whether its target has crashed
-// or only broke the connection.
+// takeBrokenRuns returns the runs noted since the last call. It finds out whether the target of a broken
+// run has crashed or only broke the connection.
 func (x *exchange) takeBrokenRuns() []*historypb.BrokenRun {
 	var list []*historypb.BrokenRun
 	for _, run := range x.newBrokenRuns {
-		crashed := !x.host.isServing(run.target)
-		x.host.Meter.Count("runs", "broken")
-		if crashed {
-			x.host.lastCrashes.record(x.service)
-			x.host.Meter.Count("runs", "crashed")
+		end := historypb.RunEnd_RUN_END_NOT_RUN
+		if !run.notRun {
+			end = x.endOf(run)
 		}
-		x.host.Log.Info("run broken off", "request", x.call.ID, "fingerprint", x.fingerprint, "program", x.call.Program, "route", x.route.Name,
-			"target", run.target.ID, "crashed", crashed, "sends", x.sendCount, "reason", run.reason)
-		list = append(list, &historypb.BrokenRun{Request: x.fingerprint, Target: run.target.ID, Born: run.target.StartedAtMs, Crashed: crashed})
+		list = append(list, &historypb.BrokenRun{Request: x.fingerprint, Target: run.target.ID, Born: run.target.StartedAtMs, End: end})
 	}
-	x.newBrokenRuns = nil
+	x.newBrokenRuns, x.announcedTarget = nil, ""
 	return list
 }
 
+// endOf finds out whether the target of a broken run has crashed, and logs and counts the run.
+func (x *exchange) endOf(run brokenRun) historypb.RunEnd {
+	end := historypb.RunEnd_RUN_END_BROKEN
+	x.host.Meter.Count("runs", "broken")
+	if !x.host.isServing(run.target) {
+		end = historypb.RunEnd_RUN_END_CRASHED
+		x.host.lastCrashes.record(x.service)
+		x.host.Meter.Count("runs", "crashed")
+	}
+	x.host.Log.Info("run broken off", "request", x.call.ID, "fingerprint", x.fingerprint, "program", x.call.Program, "route", x.route.Name,
+		"target", run.target.ID, "crashed", end == historypb.RunEnd_RUN_END_CRASHED, "sends", x.sendCount, "reason", run.reason)
+	return end
+}
+
+// isGone reports whether an incarnation of a target is known to have ended: the platform has removed
+// it, or it accepts no connection. One that this host does not know is not taken to be gone.
+func (h *Host) isGone(target string, startedAtMs int64) bool {
+	if h.departures.contains(target, startedAtMs) {
+		return true
+	}
+	h.mu.Lock()
+	t, listed := h.registry.TargetIncarnation(target, startedAtMs)
+	address := ""
+	if listed {
+		address = t.Address
+	}
+	h.mu.Unlock()
+	return listed && !h.reachability.acceptsConnections(target, address)
+}
+
 // isServing reports whether the incarnation of a target still serves: it is listed and accepts
 // connections.
 func (h *Host) isServing(t balance.TargetInfo) bool {
--- a/daemon/entry/crash_limit.go
+++ b/daemon/entry/crash_limit.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/pistachioarch/pistachioarch/core/balance"
 	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/core/historypb"
 	"github.com/pistachioarch/pistachioarch/core/ledger"
@@ -75,18 +76,33 @@
 	return nil
 }
 
-// crashes returns the number of targets known to have crashed under the request.
-func (x *exchange) crashes() int { return x.brokenRuns.Crashes(x.host.departures.contains) }
-
 // crashLimitFailure returns the final failure of a request under which too many targets crashed, else
 // nil.
 func (x *exchange) crashLimitFailure() error {
-	crashes := x.crashes()
-	if crashes < ledger.MaxCrashes || x.call.Program == "" && x.host.served.contains(x.fingerprint) {
+	if !x.brokenRuns.ExceedCrashes(x.host.isGone) || x.call.Program == "" && x.host.served.contains(x.fingerprint) {
 		return nil
 	}
 	x.host.Meter.Count("requests", "given_up")
-	return failure.Unknown(failure.TargetCrashes, "%d targets crashed while they ran the request", crashes)
+	return failure.Unknown(failure.TargetCrashes, "%d targets crashed while they ran the request", ledger.MaxCrashes)
+}
+
+// announceRun makes durable, before the request is sent to a target, that it may run there, if targets
+// have crashed under it before. If this host is killed or cut off meanwhile, the next one finds out
+// what became of the target.
+func (x *exchange) announceRun(t balance.TargetInfo) error {
+	if x.brokenRuns.Confirmed() == 0 || !x.limitsCrashes() {
+		return nil
+	}
+	run := &historypb.BrokenRun{Request: x.fingerprint, Target: t.ID, Born: t.StartedAtMs, End: historypb.RunEnd_RUN_END_UNKNOWN}
+	ctx, cancel := context.WithTimeout(context.Background(), brokenRunWriteTimeout)
+	defer cancel()
+	if err := x.writeBrokenRuns(ctx, brokenRunRecords([]*historypb.BrokenRun{run})); err != nil {
+		x.recordOutcome(t.ID, balance.Abandoned)
+		return failure.Retry(failure.HistoryUnavailable, x.historyRetryDelay(), "run after a crash not announced: %v", err)
+	}
+	x.brokenRuns.Merge([]*historypb.BrokenRun{run})
+	x.announcedTarget = t.ID
+	return nil
 }
 
 // recordBrokenRuns makes new broken runs durable. It returns a failure if the request must not be sent
@@ -101,7 +117,7 @@
 	if limit := x.crashLimitFailure(); limit != nil {
 		return limit
 	}
-	crashed := slices.ContainsFunc(runs, func(r *historypb.BrokenRun) bool { return r.Crashed })
+	crashed := slices.ContainsFunc(runs, func(r *historypb.BrokenRun) bool { return r.End == historypb.RunEnd_RUN_END_CRASHED })
 	if err != nil && crashed {
 		return failure.Unknown(failure.HistoryUnavailable, "crash of a target not stored: %v", err)
 	}
--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -64,6 +64,9 @@
 			}
 			return reported
 		}
+		if err := x.announceRun(t); err != nil {
+			return failureToReport(reported, err)
+		}
 		retry, err := x.attempt(ctx, t)
 		if err == nil {
 			return nil
@@ -285,7 +288,9 @@
 	if !resp.Answer.Misdirected {
 		x.capacityWait.addFull(t.ID)
 	}
-	return true, failure.Retry(failure.TargetFull, defaultRetryDelay, "target %s refused the request with status %d", t.ID, resp.Status)
+	f := failure.Retry(failure.TargetFull, defaultRetryDelay, "target %s refused the request with status %d", t.ID, resp.Status)
+	x.addBrokenRun(x.r.Context(), t, f)
+	return true, f
 }
 
 // send sends the request to one target, and starts probes of it if no connection can be
--- a/daemon/entry/handle.go
+++ b/daemon/entry/handle.go
@@ -34,6 +34,9 @@
 	// holds those of all attempts as far as they are known.
 	newBrokenRuns []brokenRun
 	brokenRuns    ledger.BrokenRuns
+	// announcedTarget is the ID of the target at which a run was announced; empty if none was since
+	// the last run ended.
+	announcedTarget string
 	// held accounts for the memory that the host holds for the request.
 	held *requestMemory
 	// uploadTimedOut is set if the caller did not send its body in time. Its connection is
--- a/daemon/entry/stream.go
+++ b/daemon/entry/stream.go
@@ -138,6 +138,9 @@
 		if err != nil {
 			return balance.TargetInfo{}, nil, nil, err
 		}
+		if err := x.announceRun(t); err != nil {
+			return balance.TargetInfo{}, nil, nil, err
+		}
 		x.host.Meter.Count("streams", "resumed")
 		x.host.Log.Info("stream resumed", "request", x.call.ID, "target", t.ID, "software", t.SoftwareVersion, "after_event", lastEventID)
 		guarded, release := x.host.reachability.guard(ctx, t)
@@ -162,6 +165,12 @@
 		x.recordOutcome(t.ID, balance.Refused)
 		_ = resp.Body.Close()
 		release()
+		if resp.Answer.NotRun {
+			x.addBrokenRun(ctx, t, failure.New(failure.TargetFull, "status %d", resp.Status))
+			if limit := x.recordBrokenRuns(); limit != nil {
+				return balance.TargetInfo{}, nil, nil, limit
+			}
+		}
 	}
 	return balance.TargetInfo{}, nil, nil, failure.Unknown(failure.TargetFailed, "no target resumed the stream after %d sends", x.sendCount)
 }
