daemon/entry, core/ledger: only targets that refuse or ignore connections after a broken run have crashed

Cause: a run that broke off at a target which accepted connections right after was counted once the target was gone, to catch targets that are restarted at once.

Change: of broken runs only those count whose target refuses a connection right after, or does not react to one; of announced runs only those whose end nobody stored. A target that comes back faster than a connection is made is not seen to have crashed; no target starts that fast.

--- a/core/ledger/brokenrun.go
+++ b/core/ledger/brokenrun.go
@@ -44,7 +44,8 @@
 }
 
 // ExceedCrashes reports whether MaxCrashes targets crashed while they ran the request: those found to
-// have crashed then, and those that are gone by now. isGone is only called if it decides.
+// have crashed then, and those of runs whose end is unknown that are gone by now. isGone is only called
+// if it decides.
 func (b *BrokenRuns) ExceedCrashes(isGone func(target string, startedAtMs int64) bool) bool {
 	count := b.Confirmed()
 	if len(b.ends) < MaxCrashes {
@@ -54,18 +55,13 @@
 		if count >= MaxCrashes {
 			break
 		}
-		if mayHaveCrashed(end) && isGone(key.target, key.startedAtMs) {
+		if end == historypb.RunEnd_RUN_END_UNKNOWN && isGone(key.target, key.startedAtMs) {
 			count++
 		}
 	}
 	return count >= MaxCrashes
 }
 
-// mayHaveCrashed reports whether the target of a run with this end may have crashed unnoticed.
-func mayHaveCrashed(end historypb.RunEnd) bool {
-	return end == historypb.RunEnd_RUN_END_UNKNOWN || end == historypb.RunEnd_RUN_END_BROKEN
-}
-
 // records returns the broken runs as records of a request, in no order.
 func (b *BrokenRuns) records(request string) []*historypb.BrokenRun {
 	list := make([]*historypb.BrokenRun, 0, len(b.ends))
--- a/daemon/entry/connect_check.go
+++ b/daemon/entry/connect_check.go
@@ -1,6 +1,11 @@
 package entry
 
-import "context"
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+)
 
 // connectCheck is one attempt to connect to a target, which everybody who asks at that time shares.
 type connectCheck struct {
@@ -9,8 +14,8 @@
 	accepted bool
 }
 
-// acceptsConnections reports whether a target accepts a new connection now. If it does not, probes of
-// it are started.
+// acceptsConnections reports whether a target accepts a new connection now, or at least refuses none as
+// an address does without a process. If it does not, probes of it are started.
 func (m *reachabilityMonitor) acceptsConnections(target, address string) bool {
 	m.mu.Lock()
 	if m.targetLocked(target).unreachable {
@@ -37,14 +42,17 @@
 	return check.accepted
 }
 
-// connect reports whether a connection to the address succeeds within probeTimeout.
+// connect reports whether a process at the address reacts to a connection within probeTimeout. One that
+// has too many connections may reset a new one.
 func (m *reachabilityMonitor) connect(address string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	conn, err := m.host.Dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return false
+	if err == nil {
+		_ = conn.Close()
+		return true
 	}
-	_ = conn.Close()
-	return true
+	var netErr net.Error
+	silent := ctx.Err() != nil || errors.As(err, &netErr) && netErr.Timeout()
+	return !silent && !errors.Is(err, syscall.ECONNREFUSED)
 }
