--- a/daemon/entry/doc.go
+++ b/daemon/entry/doc.go
@@ -4,8 +4,10 @@
 //	caller -> ServeHTTP (handle.go): decode, route, read the body
 //	       -> customer.go, confirm.go: authorise the key, check the age of the configuration
 //	       -> turn.go: reserve budget, rebuild the prompt   (history hosts)
+//	       -> crash_limit.go: give up a request under which targets crashed (history hosts)
 //	       -> quota.go: take a token of the customer quota  (history hosts)
 //	       -> forward.go: pick a target, send, retry        (core/balance, targetpool)
+//	          broken_run.go, connect_check.go: find out whether a target crashed
 //	          hedge.go, capacity_wait.go: second sends, wait for full targets
 //	       -> plain.go / stream.go: pass the answer to the caller
 //	       -> turn.go: settle budget, store the turn        (history hosts)
