--- a/core/ledger/brokenrun.go
+++ b/core/ledger/brokenrun.go
@@ -43,10 +43,10 @@
 	return count
 }
 
-// ExceedCrashes reports whether MaxCrashes targets crashed while they ran the request: those found to
+// CrashLimitReached reports whether MaxCrashes targets crashed while they ran the request: those found to
 // have crashed then, and those of runs whose end is unknown that are gone by now. isGone is only called
 // if it decides.
-func (b *BrokenRuns) ExceedCrashes(isGone func(target string, startedAtMs int64) bool) bool {
+func (b *BrokenRuns) CrashLimitReached(isGone func(target string, startedAtMs int64) bool) bool {
 	count := b.Confirmed()
 	if len(b.ends) < MaxCrashes {
 		return false
--- a/core/ledger/brokenrun_test.go
+++ b/core/ledger/brokenrun_test.go
@@ -45,9 +45,9 @@
 		b.Merge(replica.BrokenRuns("p", "r"))
 		b.Merge([]*historypb.BrokenRun{{Request: "r", Target: "a", Born: 1}}) // of a replica that does not know of the crash
 		require.Equal(t, 2, b.Confirmed())
-		require.False(t, b.ExceedCrashes(nobodyGone))
-		require.False(t, b.ExceedCrashes(allGoneButB), "target d did not run the request, target e served on")
-		require.True(t, b.ExceedCrashes(allGone))
+		require.False(t, b.CrashLimitReached(nobodyGone))
+		require.False(t, b.CrashLimitReached(allGoneButB), "target d did not run the request, target e served on")
+		require.True(t, b.CrashLimitReached(allGone))
 		require.Equal(t, l.Digest("p"), replica.Digest("p"))
 	}
 }
--- a/daemon/entry/hedge.go
+++ b/daemon/entry/hedge.go
@@ -31,7 +31,8 @@
 
 // hedgeDelay returns how long to wait for an answer before the call is sent a second time; false
 // if the call is not hedged. Only calls that the configuration allows to run more than once are
-// hedged, and only within the attempts of their route. A call that a target broke off is sent to one target at a time.
+// hedged, and only within the attempts of their route. A call that a target broke off is sent to one
+// target at a time.
 func (x *exchange) hedgeDelay() (time.Duration, bool) {
 	hedgeable := x.route.Kind == routing.Idempotent && x.call.PromptTokens == 0
 	if !hedgeable || x.capacityWait.waited > 0 || x.sendCount+2 > x.route.MaxAttempts || x.brokenRuns.Known() {
--- a/daemon/history/server.go
+++ b/daemon/history/server.go
@@ -313,11 +313,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return &historypb.Reply{
-		Status:   historypb.Status_STATUS_OK,
-		Spending: s.ledger.Spending(r.Program),
-		Chain:    s.ledger.Chain(r.Turn),
-		Ran:      s.ledger.LongestRuns(r.Program, r.Parts),
-
+		Status:     historypb.Status_STATUS_OK,
+		Spending:   s.ledger.Spending(r.Program),
+		Chain:      s.ledger.Chain(r.Turn),
+		Ran:        s.ledger.LongestRuns(r.Program, r.Parts),
 		BrokenRuns: s.ledger.BrokenRuns(r.Program, r.Request),
 	}
 }
