ctl/roles: a run that begins at the instant of the third crash counts as sent on

The check of TestRequestIsNotSentOnAfterThreeTargetsCrashed compared with After: in virtual time a repeat by the same host begins at the very instant of the crash and was left out. It is stricter now.

--- a/ctl/roles/crashes_test.go
+++ b/ctl/roles/crashes_test.go
@@ -105,14 +105,15 @@
 // crashesTargets reports whether targets crash under the request.
 func (q *repeatedRequest) crashesTargets() bool { return strings.Contains(q.body, crashMarker) }
 
-// runsAfterLastAllowedCrash returns how many runs began after maxCrashes targets had crashed.
+// runsAfterLastAllowedCrash returns how many runs began once maxCrashes targets had crashed, those at the
+// very instant of the last crash included.
 func (q *repeatedRequest) runsAfterLastAllowedCrash() int {
 	if len(q.crashes) < maxCrashes {
 		return 0
 	}
 	count := 0
 	for _, at := range q.runs {
-		if at.After(q.crashes[maxCrashes-1]) {
+		if !at.Before(q.crashes[maxCrashes-1]) {
 			count++
 		}
 	}
