--- a/review/standin/endless.go
+++ b/review/standin/endless.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -43,9 +44,9 @@
 	}
 	stop := make(chan struct{})
 	var watching, calling sync.WaitGroup
-	kills := make([]int, len(c.entries()))
+	kills, failed := make([]int, len(c.entries())), make([]error, len(c.entries()))
 	for i, m := range c.entries() {
-		watching.Go(func() { kills[i] = keepToLimit(c, rec, m, stop) })
+		watching.Go(func() { kills[i], failed[i] = keepToLimit(c, rec, m, stop) })
 	}
 	log := &callLog{closed: map[string]string{}}
 	end := time.Now().Add(callsFor)
@@ -55,6 +56,9 @@
 	calling.Wait()
 	close(stop)
 	watching.Wait()
+	if err := errors.Join(failed...); err != nil {
+		return false, err
+	}
 	sound := map[string]bool{}
 	for _, e := range engines {
 		if e.endless == nil {
@@ -81,11 +85,11 @@
 
 // keepToLimit does what the platform does to a process that uses more memory than its limit. It returns how
 // often.
-func keepToLimit(c *cluster, rec *record, m *machine, stop <-chan struct{}) (kills int) {
+func keepToLimit(c *cluster, rec *record, m *machine, stop <-chan struct{}) (kills int, err error) {
 	for {
 		select {
 		case <-stop:
-			return kills
+			return kills, nil
 		case <-time.After(20 * time.Millisecond):
 		}
 		m.mu.Lock()
@@ -98,8 +102,7 @@
 			kills++
 			time.Sleep(restartDelay)
 			if err := c.start(m); err != nil {
-				rec.say("not started again: %v", err)
-				return kills
+				return kills, err
 			}
 		}
 	}
