daemon/history, daemon/quorum, core/ledger: a turn is acknowledged only by members whose program has its whole chain

Cause: a turn is removed with the last program that has it. The entry host made a program take over the turns of others before a turn ran, but only if no replica of the program's slot had found them, and a member looks for a chain in the turns of all programs and slots that it has. With four history hosts a member has three of four slots, so the chain was nearly always found and not taken over; it expired with its first program. What was taken over was written once, to a quorum that need not be the one that acknowledges the turn.

The other hypotheses fall: nothing was taken over that then expired early, and the retention written is right.

Change: a write of a turn names the turns before it. A member acknowledges it only if the program has all of them there; it takes over those that other programs have there, durably, and names those that it lacks, which the entry host then sends. So each member that counts for an acknowledgement keeps the whole chain as long as the turn, also one that missed a turn, and also after its log dropped the segment with the first copy. The take-over before the run is gone. A turn that is stored without one before it is now a typed failure (incomplete_chain) and a log line.

--- a/core/failure/failure.go
+++ b/core/failure/failure.go
@@ -57,6 +57,7 @@
 	StaleConfiguration  Kind = "stale_configuration"
 	QuotaExceeded       Kind = "quota_exceeded"
 	UnknownTurn         Kind = "unknown_turn"
+	IncompleteChain     Kind = "incomplete_chain"
 	HistoryUnavailable  Kind = "history_unavailable"
 	TargetFull          Kind = "target_full"
 	TargetGone          Kind = "target_gone"
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -38,6 +38,10 @@
 }
 
 // Ledger holds the records of all slots of a member. It is not safe for concurrent use.
+//
+// A turn is removed when all programs that have it have expired. A chain of turns that began in another
+// program would so lose its beginning: who writes a turn therefore makes its program take over the turns
+// before it; see LackingTurns.
 type Ledger struct {
 	programs  map[string]*program
 	slots     map[uint32]map[string]*program
@@ -175,6 +179,23 @@
 	return chain
 }
 
+// LackingTurns returns which of the named turns a program lacks: those that other programs have here,
+// and the names of those that the ledger does not hold at all.
+func (l *Ledger) LackingTurns(name string, turns []string) (elsewhere []*historypb.Turn, missing []string) {
+	p := l.programs[name]
+	for _, id := range turns {
+		if p != nil && p.turnIDs[id] {
+			continue
+		}
+		if e := l.turns[id]; e != nil {
+			elsewhere = append(elsewhere, e.turn)
+			continue
+		}
+		missing = append(missing, id)
+	}
+	return elsewhere, missing
+}
+
 // RecordPage returns all records of the named programs, in the order given, and whether programs
 // are left over. It stops after the program with which the page reaches limit bytes.
 func (l *Ledger) RecordPage(names []string, limit int) (page []*historypb.Record, more bool) {
--- a/ctl/replicas/read_test.go
+++ b/ctl/replicas/read_test.go
@@ -222,7 +222,7 @@
 			history, err := d.Read(t.Context(), p, p+"2")
 			require.NoError(t, err)
 			require.Len(t, history.Chain, 2)
-			require.False(t, history.ChainInOtherProgram)
+			require.Empty(t, c.membersAsked(func(r *historypb.Request) bool { return r.GetRead().GetAnySlot() }))
 			require.LessOrEqual(t, len(c.membersAsked(func(r *historypb.Request) bool { return r.GetRead().GetTurn() != "" })), 2)
 		}
 	})
--- a/ctl/roles/invariants_test.go
+++ b/ctl/roles/invariants_test.go
@@ -55,6 +55,8 @@
 	versionsResult  *versionsOutcome
 	// crashOutcomes are the outcomes of crashCases.
 	crashOutcomes = map[string]*crashOutcome{}
+	// branchOutcomes are the outcomes of runBranches, by seed.
+	branchOutcomes = map[uint64]*branchOutcome{}
 	// keyRemovals, quotaOutcomes and evacuationOutcomes are the outcomes of customerFaults.
 	keyRemovals, quotaOutcomes = map[string]*customerOutcome{}, map[string]*customerOutcome{}
 	evacuationOutcomes         = map[string]*evacuationOutcome{}
@@ -99,6 +101,11 @@
 					crashOutcomes[cc.name] = runCrashCase(t, cc, crashSeed)
 				}
 			}
+			for seed := crashSeed; seed < crashSeed+branchSeeds; seed++ {
+				if selectedCase == "" || selectedCase == branchCase {
+					branchOutcomes[seed] = runBranches(t, seed)
+				}
+			}
 			if selectedCase == "" {
 				membersWithoutSlots = findMembersWithoutSlots(t)
 				largeStart = startManyHistoryHosts(t)
@@ -108,7 +115,7 @@
 			}
 		})
 	})
-	require.NotZero(t, len(outcomes)+len(relayOutcomes)+len(keyRemovals)+len(crashOutcomes))
+	require.NotZero(t, len(outcomes)+len(relayOutcomes)+len(keyRemovals)+len(crashOutcomes)+len(branchOutcomes))
 }
 
 func runFaultCase(t *testing.T, fc faultCase) *outcome {
--- a/daemon/entry/host.go
+++ b/daemon/entry/host.go
@@ -300,6 +300,7 @@
 	failure.TooLarge:           http.StatusRequestEntityTooLarge,
 	failure.NoRoute:            http.StatusNotFound,
 	failure.UnknownTurn:        http.StatusNotFound,
+	failure.IncompleteChain:    http.StatusNotFound,
 	failure.BudgetExhausted:    http.StatusPaymentRequired,
 	failure.Unauthorized:       http.StatusUnauthorized,
 	failure.QuotaExceeded:      http.StatusTooManyRequests,
--- a/daemon/entry/turn.go
+++ b/daemon/entry/turn.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pistachioarch/pistachioarch/core/failure"
@@ -37,6 +38,8 @@
 	input      []byte
 	output     []byte
 	eventCount int64
+	// chain holds the turns before this one, newest first. Their contents are parts of the request's body.
+	chain []*historypb.Turn
 	// historyProgram is the program name under which the turn and those before it are
 	// stored; see exchange.historyProgram.
 	historyProgram string
@@ -129,7 +132,7 @@
 	}
 	x.markCached(programHistory.Runs)
 	x.programStarted = x.call.PreviousTurn != "" || programHistory.Usage.TokensExcluding(x.call.ID) > 0
-	return t.prependChain(ctx, programHistory.Chain, programHistory.ChainInOtherProgram)
+	return t.prependChain(ctx, programHistory.Chain)
 }
 
 // reservationRecord returns the record that reserves the tokens of the turn.
@@ -158,7 +161,7 @@
 	if err != nil {
 		return nil, err
 	}
-	budgetHistory.Chain, budgetHistory.ChainInOtherProgram = chain.Chain, chain.ChainInOtherProgram
+	budgetHistory.Chain = chain.Chain
 	return budgetHistory, nil
 }
 
@@ -188,7 +191,7 @@
 // cannot succeed.
 func (t *turn) historyFailure(err error) error {
 	f := *failure.From(err)
-	if f.Kind == failure.UnknownTurn {
+	if f.Kind == failure.UnknownTurn || f.Kind == failure.IncompleteChain {
 		return &f
 	}
 	f.Kind, f.Ran, f.RetryAfter = failure.HistoryUnavailable, failure.RanNo, t.x.historyRetryDelay()
@@ -203,30 +206,21 @@
 	return x.host.historyRetryDelay()
 }
 
-// prependChain puts the chain, oldest turn first, before the new input. A chain that is stored
-// for another program is copied, so that it is retained as long as this program.
-func (t *turn) prependChain(ctx context.Context, chain []*historypb.Turn, fromOtherProgram bool) error {
+// prependChain puts the chain, oldest turn first, before the new input, and keeps it for finish.
+func (t *turn) prependChain(ctx context.Context, chain []*historypb.Turn) error {
 	chainBytes, err := t.reserveMemory(ctx, chain)
 	if err != nil || len(chain) == 0 {
 		return err
 	}
 	defer t.x.held.release(held.Prompt, chainBytes)
-	size := len(t.input) + int(chainBytes)
-	body := make([]byte, 0, size)
-	for i := len(chain) - 1; i >= 0; i-- {
-		body = append(body, chain[i].Content...)
+	body := make([]byte, 0, len(t.input)+int(chainBytes))
+	for _, previous := range slices.Backward(chain) {
+		start := len(body)
+		body = append(body, previous.Content...)
+		previous.Content = body[start:len(body):len(body)]
 	}
 	t.x.body = append(body, t.input...)
-	if !fromOtherProgram {
-		return nil
-	}
-	records := make([]*historypb.Record, 0, len(chain))
-	for _, previous := range chain {
-		records = append(records, &historypb.Record{Change: &historypb.Record_Turn{Turn: previous}})
-	}
-	if err := t.x.host.History.Write(ctx, t.historyProgram, t.x.retention(), records...); err != nil {
-		return t.historyFailure(err)
-	}
+	t.chain = chain
 	return nil
 }
 
@@ -266,7 +260,8 @@
 		// turns before it.
 		defer t.settle()
 	}
-	if err := t.x.host.History.WriteUnlessUnreachable(ctx, unreachableHistoryTimeout, t.historyProgram, t.x.retention(), records...); err != nil {
+	chain := quorum.Chain{Turns: t.chain, Reserve: t.x.reserveFunc(ctx, held.Record)}
+	if err := t.x.host.History.WriteTurn(ctx, unreachableHistoryTimeout, t.historyProgram, t.x.retention(), chain, records...); err != nil {
 		return failure.Unknown(failure.HistoryUnavailable, "turn not stored: %v", err)
 	}
 	return nil
--- a/daemon/history/server_test.go
+++ b/daemon/history/server_test.go
@@ -184,11 +184,9 @@
 	require.Equal(t, m.Epoch+49, onDisk.Epoch)
 }
 
-// A write to a guarded slot whose newest records only this disk would hold is stored at the
-// platform as well before it is acknowledged.
-func TestGuardedSlotIsStoredAtPlatformToo(t *testing.T) {
-	s := openServer(t, t.TempDir())
-	defer s.Close()
+// guardedMap returns a map with guarded slots in which the server's member serves alone. The server has
+// the map before it.
+func guardedMap(t *testing.T, s *Server) *placement.Map {
 	m := placement.New(1)
 	for id, dc := range map[string]string{"a1": "a", "a2": "a", s.MemberID(): "c"} {
 		m.Admit(placement.Member{ID: id, Host: id, Address: id, DataCentre: dc})
@@ -202,7 +200,15 @@
 	require.True(t, m.Activate(s.MemberID(), copied))
 	require.NoError(t, s.Adopt(m.Clone()))
 	require.True(t, m.Demote(map[string]bool{"a1": true, "a2": true}))
+	return m
+}
 
+// A write to a guarded slot whose newest records only this disk would hold is stored at the
+// platform as well before it is acknowledged.
+func TestGuardedSlotIsStoredAtPlatformToo(t *testing.T) {
+	s := openServer(t, t.TempDir())
+	defer s.Close()
+	m := guardedMap(t, s)
 	require.Equal(t, historypb.Status_STATUS_UNAVAILABLE, call(s, writeRequest(s, m.Epoch, "p", "1", 1<<60)).Status, "the request was made with a map that the member does not have")
 	require.NoError(t, s.Adopt(m))
 	require.Equal(t, historypb.Status_STATUS_UNAVAILABLE, call(s, writeRequest(s, m.Epoch, "p", "1", 1<<60)).Status, "no platform copies yet")
--- a/daemon/history/write.go
+++ b/daemon/history/write.go
@@ -9,28 +9,65 @@
 	"github.com/pistachioarch/pistachioarch/daemon/wal"
 )
 
-// write makes records durable and acknowledges them: on this disk, and also at the platform if
-// this disk would hold the only copy.
+// write makes records durable and acknowledges them once their program has the whole chain of the turn
+// among them.
 func (s *Server) write(slot uint32, w *historypb.Write, answer func(*historypb.Reply)) {
-	acknowledge := func(err error) {
-		if err != nil {
-			answer(&historypb.Reply{Status: historypb.Status_STATUS_UNAVAILABLE})
+	s.storeSlot(slot, w.Records, func(err error) {
+		if err != nil || len(w.Chain) == 0 || len(w.Records) == 0 {
+			answer(writeReply(err))
 			return
 		}
-		answer(&historypb.Reply{Status: historypb.Status_STATUS_OK})
+		s.completeChain(slot, w, answer)
+	})
+}
+
+// writeReply returns the reply to a write that ended with err.
+func writeReply(err error) *historypb.Reply {
+	if err != nil {
+		return &historypb.Reply{Status: historypb.Status_STATUS_UNAVAILABLE}
+	}
+	return &historypb.Reply{Status: historypb.Status_STATUS_OK}
+}
+
+// completeChain makes the program of a write take over the turns of the chain that other programs have
+// here. If the member lacks turns it answers with their names.
+func (s *Server) completeChain(slot uint32, w *historypb.Write, answer func(*historypb.Reply)) {
+	program, expiresMs := w.Records[0].Program, w.Records[0].ExpiresMs
+	s.mu.Lock()
+	elsewhere, missing := s.ledger.LackingTurns(program, w.Chain)
+	s.mu.Unlock()
+	if len(missing) > 0 {
+		s.meter.Add(int64(len(missing)), "turns", "missing")
+		answer(&historypb.Reply{Status: historypb.Status_STATUS_TURNS_MISSING, MissingTurns: missing})
+		return
+	}
+	if len(elsewhere) == 0 {
+		answer(writeReply(nil))
+		return
 	}
+	s.meter.Add(int64(len(elsewhere)), "turns", "taken_over")
+	records := make([]*historypb.Record, 0, len(elsewhere))
+	for _, t := range elsewhere {
+		records = append(records, &historypb.Record{Slot: slot, Program: program, ExpiresMs: expiresMs, Change: &historypb.Record_Turn{Turn: t}})
+	}
+	s.storeSlot(slot, records, func(err error) { answer(writeReply(err)) })
+}
+
+// storeSlot makes records of a slot durable: on this disk, and also at the platform if this disk would
+// hold the only copy.
+func (s *Server) storeSlot(slot uint32, records []*historypb.Record, done wal.DoneFunc) {
 	platformCopies, needsPlatformCopy := s.platformCopiesOf(slot)
 	if !needsPlatformCopy {
-		s.Store(w.Records, acknowledge)
+		s.Store(records, done)
 		return
 	}
 	if platformCopies == nil {
-		acknowledge(failure.New(failure.PlatformUnavailable, "platform copies of guarded slots not available yet"))
+		done(failure.New(failure.PlatformUnavailable, "platform copies of guarded slots not available yet"))
 		return
 	}
-	both := afterBoth(acknowledge)
-	platformCopies.write(w.Records, both)
-	s.Store(w.Records, both)
+	both := afterBoth(done)
+	platformCopies.write(records, both)
+	s.Store(records, both)
 }
 
 // platformCopiesOf returns the writer of platform copies, nil if there is none yet, and whether
--- a/daemon/quorum/client.go
+++ b/daemon/quorum/client.go
@@ -234,13 +234,19 @@
 // for longer than unreachableTimeout, because of a network partition for instance: a caller that
 // receives the failure can try another host, while one that waits also loses that time.
 func (c *Client) WriteUnlessUnreachable(ctx context.Context, unreachableTimeout time.Duration, program string, retention time.Duration, records ...*historypb.Record) error {
+	return c.WriteTurn(ctx, unreachableTimeout, program, retention, Chain{}, records...)
+}
+
+// WriteTurn is WriteUnlessUnreachable for records with a turn that continues chain. The members that
+// acknowledge it have the whole chain in the program, whichever programs stored it before.
+func (c *Client) WriteTurn(ctx context.Context, unreachableTimeout time.Duration, program string, retention time.Duration, chain Chain, records ...*historypb.Record) error {
 	expiresMs := time.Now().Add(retention + retentionMargin).UnixMilli()
 	for _, r := range records {
 		r.Program, r.ExpiresMs = program, expiresMs
 	}
 	startedAt := time.Now()
 	for {
-		err := c.writeOnce(ctx, records)
+		err := c.writeOnce(ctx, chain, records)
 		if err == nil {
 			c.meter.Observe("history_write", time.Since(startedAt))
 			return nil
@@ -252,7 +258,7 @@
 	}
 }
 
-func (c *Client) writeOnce(ctx context.Context, records []*historypb.Record) error {
+func (c *Client) writeOnce(ctx context.Context, chain Chain, records []*historypb.Record) error {
 	m := c.currentMap()
 	if m == nil || !m.IsAssigned() {
 		return failure.New(failure.HistoryUnavailable, "no slot map")
@@ -272,11 +278,14 @@
 	acks := map[string]bool{}
 	r := &round{
 		client: c, slotMap: m, slot: slot, members: members,
-		build: func(string, bool) *historypb.Request { return writeRequest(records) },
+		build: func(string, bool) *historypb.Request { return writeRequest(records, chain.turnIDs()) },
 		accept: func(member string, _ *historypb.Reply) bool {
 			acks[member] = true
 			return m.IsWriteDurable(s, acks)
 		},
+		followUp: func(member string, reply *historypb.Reply) *historypb.Request {
+			return c.sendMissingTurns(member, reply, chain, records)
+		},
 	}
 	if r.run(ctx, first) {
 		return nil
--- a/daemon/quorum/incomplete_test.go
+++ b/daemon/quorum/incomplete_test.go
@@ -44,14 +44,14 @@
 	}
 	c.slotMap = m
 	record := &historypb.Record{Program: "p"}
-	require.NoError(t, c.writeOnce(t.Context(), []*historypb.Record{record}))
+	require.NoError(t, c.writeOnce(t.Context(), Chain{}, []*historypb.Record{record}))
 	for i := range m.Slots {
 		m.Slots[i].Guarded = true
 		for j := range m.Slots[i].Replicas {
 			m.Slots[i].Replicas[j].Joining = true
 		}
 	}
-	require.True(t, failure.Is(c.writeOnce(t.Context(), []*historypb.Record{record}), failure.HistoryUnavailable))
+	require.True(t, failure.Is(c.writeOnce(t.Context(), Chain{}, []*historypb.Record{record}), failure.HistoryUnavailable))
 	_, err = c.readOnce(t.Context(), Query{Program: "p", Turn: ""})
 	require.True(t, failure.Is(err, failure.HistoryUnavailable), "%v", err)
 }
--- a/daemon/quorum/rank_test.go
+++ b/daemon/quorum/rank_test.go
@@ -27,7 +27,7 @@
 	return m
 }
 
-var writeCall, readCall = writeRequest(nil), &historypb.Request{Call: &historypb.Request_Read{Read: &historypb.Read{}}}
+var writeCall, readCall = writeRequest(nil, nil), &historypb.Request{Call: &historypb.Request_Read{Read: &historypb.Read{}}}
 
 // recordCalls records enough answered calls to a member that its average duration becomes duration.
 func recordCalls(c *Client, id string, req *historypb.Request, duration time.Duration) {
--- a/daemon/quorum/read.go
+++ b/daemon/quorum/read.go
@@ -21,15 +21,13 @@
 	Runs []*historypb.Ran
 	// BrokenRuns are the broken runs of the requested request.
 	BrokenRuns []*historypb.BrokenRun
-	// ChainInOtherProgram reports that turns of the chain are not in the program's slot: another
-	// program stored them.
-	ChainInOtherProgram bool
 }
 
 // Read returns the budget use of a program, the chain that ends with turn unless turn is empty,
 // and the targets that ran turns whose prompts ended with one of the parts. It retries until the
 // context ends. It fails with UnknownTurn only if enough replicas of every slot that could hold
-// the turn have answered, and with HistoryUnavailable if too few replicas answered.
+// the turn have answered, with IncompleteChain if they hold it but not a turn before it, and with
+// HistoryUnavailable if too few replicas answered.
 func (c *Client) Read(ctx context.Context, program, turn string, parts ...string) (*ProgramHistory, error) {
 	return c.ReadQuery(ctx, Query{Program: program, Turn: turn, Parts: parts})
 }
@@ -50,7 +48,7 @@
 	startedAt := time.Now()
 	for {
 		history, err := c.readOnce(ctx, q)
-		if err == nil || failure.Is(err, failure.UnknownTurn) {
+		if err == nil || failure.Is(err, failure.UnknownTurn) || failure.Is(err, failure.IncompleteChain) {
 			c.meter.Observe("history_read", time.Since(startedAt))
 			return history, err
 		}
@@ -104,9 +102,8 @@
 			return nil, err
 		}
 		if turns[missing] == nil {
-			history.ChainInOtherProgram = true
 			if err := c.findInAnySlot(ctx, m, missing, turns); err != nil {
-				return nil, err
+				return nil, c.chainFailure(err, q.Turn, missing)
 			}
 		}
 		missing = history.link(q.Turn, turns)
@@ -114,6 +111,17 @@
 	return history, nil
 }
 
+// chainFailure returns the failure of a read whose chain lacks a turn: IncompleteChain, logged, if the turn
+// itself was found.
+func (c *Client) chainFailure(err error, turn, missing string) error {
+	if missing == turn || !failure.Is(err, failure.UnknownTurn) {
+		return err
+	}
+	c.meter.Count("history_chains", "broken")
+	c.logger.Error("turn is stored without one before it", "turn", turn, "missing", missing)
+	return failure.New(failure.IncompleteChain, "turn %s is stored, but not turn %s before it", turn, missing)
+}
+
 // addTurns adds the turns of a chain to turns, which is keyed by turn name.
 func addTurns(turns map[string]*historypb.Turn, chain []*historypb.Turn) {
 	for _, t := range chain {
--- a/daemon/quorum/round.go
+++ b/daemon/quorum/round.go
@@ -22,10 +22,15 @@
 	build func(member string, additional bool) *historypb.Request
 	// accept is called with each successful reply and reports whether the replies are enough.
 	accept func(member string, reply *historypb.Reply) (enough bool)
+	// followUp makes a second request to a member that refused the first one with reply, nil for none.
+	// It may be nil.
+	followUp func(member string, reply *historypb.Reply) *historypb.Request
 
 	sent, pending int
-	replies       chan memberReply
-	lastErr       error
+	// followedUp holds the members that were sent a second request.
+	followedUp map[string]bool
+	replies    chan memberReply
+	lastErr    error
 }
 
 // run asks the first members and continues until the replies are enough, all members have answered
@@ -42,7 +47,7 @@
 			if answer.err == nil && r.accept(answer.member, answer.reply) {
 				return true
 			}
-			if answer.err != nil {
+			if answer.err != nil && !r.sendFollowUp(answer) {
 				r.lastErr = answer.err
 				r.sendMore(1, "failed")
 			}
@@ -83,6 +88,25 @@
 	}
 }
 
+// sendFollowUp sends a member that refused its request the one that follows up on its reply, once. It
+// reports false if there is none.
+func (r *round) sendFollowUp(answer memberReply) bool {
+	if r.followUp == nil || answer.reply == nil || r.followedUp[answer.member] {
+		return false
+	}
+	req := r.followUp(answer.member, answer.reply)
+	if req == nil {
+		return false
+	}
+	if r.followedUp == nil {
+		r.followedUp = map[string]bool{}
+	}
+	r.followedUp[answer.member] = true
+	r.pending++
+	r.client.send(r.slotMap, r.slot, answer.member, req, r.replies)
+	return true
+}
+
 // send asks one member and returns the request.
 func (r *round) send(member string, additional bool) *historypb.Request {
 	req := r.build(member, additional)
--- a/daemon/quorum/settlements.go
+++ b/daemon/quorum/settlements.go
@@ -42,9 +42,10 @@
 	if len(records) == 0 || len(members) == 0 {
 		return
 	}
-	c.sendAll(m, slot, members, func(string) *historypb.Request { return writeRequest(records) })
+	c.sendAll(m, slot, members, func(string) *historypb.Request { return writeRequest(records, nil) })
 }
 
-func writeRequest(records []*historypb.Record) *historypb.Request {
-	return &historypb.Request{Call: &historypb.Request_Write{Write: &historypb.Write{Records: records}}}
+// writeRequest returns a request to store records; chain holds the turns before the one among them.
+func writeRequest(records []*historypb.Record, chain []string) *historypb.Request {
+	return &historypb.Request{Call: &historypb.Request_Write{Write: &historypb.Write{Records: records, Chain: chain}}}
 }
