wire/targetpool, wire/headlimit: what a target sends before its memory is accounted for is bounded

What callers saw: kept connections closed without an answer, with calls that sound targets ran.

Cause: the head of an answer is read by http.ReadResponse, which bounds neither a line nor their number, and the memory account is asked only for bodies and events. A line of 8 MB was read to its end, and so were headers of many lines (which take many times their size once parsed) and heads of informational answers; a late answer that was too long to be skipped was read on as the next answer.

A breach is a failure of kind bad_answer, a metric and a log line, and the connection is closed.

--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -310,6 +310,9 @@
 	case err == nil:
 		h.Meter.Observe("target_head", time.Since(sentAt))
 		h.recordAnswerHead(t, resp.Answer)
+	case failure.Is(err, failure.BadAnswer):
+		h.Meter.Count("targets", "bad_answer")
+		h.Log.Warn("target sent what is no answer", "request", req.ID, "target", t.ID, "error", err.Error())
 	case failure.From(err).Ran == failure.RanNo && ctx.Err() == nil:
 		h.reachability.startProbing(t.ID, t.Address)
 	}
--- a/wire/targetpool/exchange.go
+++ b/wire/targetpool/exchange.go
@@ -166,17 +166,17 @@
 // receive reads the head of the answer to r, skipping late answers to other requests.
 func (x *exchange) receive(r *Request, decode Decode) (*Response, error) {
 	for range maxSkippedAnswers {
-		resp, err := http.ReadResponse(x.conn.in, &http.Request{Method: r.Method})
+		resp, err := x.readHead(r)
 		if err != nil {
-			return nil, unknownOutcome(err, "answer of %s", r.Address)
+			return nil, err
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
 		answer := decode(resp.StatusCode, resp.Header)
 		if answer.ID != "" && answer.ID != r.ID {
-			if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBodyBytes)); err != nil {
-				return nil, unknownOutcome(err, "late answer of %s", r.Address)
+			if err := skipBody(resp.Body, r.Address); err != nil {
+				return nil, err
 			}
 			continue
 		}
@@ -191,6 +191,34 @@
 	return nil, failure.Unknown(failure.BadAnswer, "only answers to other requests from %s", r.Address)
 }
 
+// readHead reads the head of the next answer on the connection, within its bounds.
+func (x *exchange) readHead(r *Request) (*http.Response, error) {
+	x.conn.head.Start()
+	defer x.conn.head.Stop()
+	resp, err := http.ReadResponse(x.conn.in, &http.Request{Method: r.Method})
+	var exceeded *failure.Failure
+	if errors.As(err, &exceeded) {
+		return nil, failure.Unknown(failure.BadAnswer, "answer of %s: %s", r.Address, exceeded.Detail)
+	}
+	if err != nil {
+		return nil, unknownOutcome(err, "answer of %s", r.Address)
+	}
+	return resp, nil
+}
+
+// skipBody reads the body of a late answer. It fails if that is too long to be skipped: what follows would
+// be taken for the next answer.
+func skipBody(body io.Reader, address string) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBodyBytes+1))
+	if err != nil {
+		return unknownOutcome(err, "late answer of %s", address)
+	}
+	if n > maxSkippedBodyBytes {
+		return failure.Unknown(failure.BadAnswer, "late answer of %s exceeds %d bytes", address, maxSkippedBodyBytes)
+	}
+	return nil
+}
+
 // body is the body of an answer. Reading it to its end returns the connection to the pool.
 type body struct {
 	x          *exchange
--- a/wire/targetpool/pool.go
+++ b/wire/targetpool/pool.go
@@ -7,7 +7,9 @@
 //   - a request that failed later may have run, and this package never repeats it;
 //   - an answer is matched to its request by the ID that it echoes: a late answer to an
 //     earlier request is read and discarded;
-//   - a connection with unread bytes, or whose request was not sent in full, is closed.
+//   - a connection with unread bytes, or whose request was not sent in full, is closed;
+//   - the heads of answers, and late answers, are bounded: their bytes are read before a caller of
+//     this package can account for them.
 package targetpool
 
 import (
@@ -19,6 +21,7 @@
 
 	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/core/request"
+	"github.com/pistachioarch/pistachioarch/wire/headlimit"
 )
 
 // Dialer opens connections; *net.Dialer implements it.
@@ -39,6 +42,8 @@
 	defaultIdleTimeout = 500 * time.Millisecond
 	// readBufferBytes is large enough for the head and body of a plain (not streamed) answer.
 	readBufferBytes = 4 << 10
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 16 << 10
 )
 
 // Decode decodes the status and headers of a target's answer.
@@ -61,7 +66,8 @@
 	net.Conn
 	address     string
 	in          *bufio.Reader
-	bytes       *ByteCounter  // counts the bytes of the current exchange; may be nil
+	bytes       *ByteCounter // counts the bytes of the current exchange; may be nil
+	head        headlimit.Limiter
 	lastUsed    time.Time     // when the last answer was complete
 	idleTimeout time.Duration // how long the connection may be idle
 }
@@ -109,7 +115,7 @@
 	if err != nil {
 		return nil, failure.Wrap(err, failure.TargetFailed, "dial %s", address)
 	}
-	c := &conn{Conn: netConn, address: address, idleTimeout: defaultIdleTimeout}
+	c := &conn{Conn: netConn, address: address, idleTimeout: defaultIdleTimeout, head: headlimit.Limiter{MaxBytes: maxHeadBytes}}
 	c.in = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
