daemon/entry: the head of a caller's request is bounded in its lines before it is parsed

What callers saw: nothing yet.

Change: the limiter of heads counts the lines on callers' connections too, from the start of a connection or its last answer to the start of the handler.

TestHeadOfManyLinesIsRefused fails on the code before (200 in place of 431). TestBodyOfManyLinesIsServed guards bodies and pipelined requests.

--- a/daemon/entry/caller.go
+++ b/daemon/entry/caller.go
@@ -22,7 +22,11 @@
 )
 
 // callerListener wraps each connection that it accepts in a callerConn.
-type callerListener struct{ net.Listener }
+type callerListener struct {
+	net.Listener
+	// onLongHead is called with the failure if the head of a request has too many lines.
+	onLongHead func(caller net.Addr, err error)
+}
 
 // Accept implements net.Listener.
 func (l callerListener) Accept() (net.Conn, error) {
@@ -30,7 +34,8 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := &callerConn{Conn: c}
+	conn := &callerConn{Conn: c, onLongHead: l.onLongHead}
+	conn.head.Start()
 	conn.writeTimeout.Store(int64(answerWriteTimeout))
 	return conn, nil
 }
@@ -41,6 +46,7 @@
 type callerConn struct {
 	net.Conn
 	idleState
+	onLongHead   func(caller net.Addr, err error)
 	writeTimeout atomic.Int64
 	request      atomic.Pointer[requestMemory]
 }
--- a/daemon/entry/caller_test.go
+++ b/daemon/entry/caller_test.go
@@ -18,7 +18,7 @@
 	caller, err = net.Dial("tcp", l.Addr().String())
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = caller.Close() })
-	conn, err := callerListener{l}.Accept()
+	conn, err := callerListener{Listener: l}.Accept()
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
 	return conn.(*callerConn), caller
--- a/daemon/entry/handle.go
+++ b/daemon/entry/handle.go
@@ -78,6 +78,9 @@
 // ServeHTTP implements http.Handler.
 func (h *Host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{host: h, w: w, r: r, startedAt: time.Now(), tried: map[string]bool{}}
+	if c := callerConnOf(r); c != nil {
+		c.markHeadRead()
+	}
 	if !h.Ready() {
 		// Makes the caller reconnect, to a host that is ready.
 		w.Header().Set("Connection", "close")
--- a/daemon/entry/host.go
+++ b/daemon/entry/host.go
@@ -165,12 +165,18 @@
 			ErrorLog:          h.Log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 		}
 		h.server.Store(server)
-		if err := server.Serve(callerListener{listener}); err != nil && err != http.ErrServerClosed {
+		if err := server.Serve(callerListener{listener, h.recordLongHead}); err != nil && err != http.ErrServerClosed {
 			h.Log.Error("caller listener failed", "error", err.Error())
 		}
 	}()
 }
 
+// recordLongHead logs and counts a caller whose request has a head of too many lines.
+func (h *Host) recordLongHead(caller net.Addr, err error) {
+	h.Meter.Count("requests", "refused", "long_head")
+	h.Log.Warn("head of a request refused", "caller", caller.String(), "error", err.Error())
+}
+
 // serverIdleTimeout exceeds any configured idle timeout, which idleCloser enforces.
 const serverIdleTimeout = 10 * time.Minute
 
--- a/daemon/entry/idle.go
+++ b/daemon/entry/idle.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/pistachioarch/pistachioarch/wire/headlimit"
 )
 
 // idleCloser closes callers' connections that stay idle for longer than the current
@@ -50,6 +52,9 @@
 	mu            sync.Mutex
 	receivedBytes int // since the connection became idle
 	closed        bool
+	// head counts the lines of the head of the next request; headRefused is set once it has too many.
+	head        headlimit.Limiter
+	headRefused bool
 }
 
 // markIdle records that the connection is idle.
@@ -57,15 +62,35 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.receivedBytes = 0
+	s.head.Start()
+}
+
+// markHeadRead records that the head of a request was read; what follows is its body.
+func (s *idleState) markHeadRead() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.head.Stop()
+}
+
+// recordRead records bytes that were read. It fails if they must be discarded: with net.ErrClosed if the
+// connection has been closed, with TooLarge if they belong to a head that exceeds its bounds.
+func (s *idleState) recordRead(p []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.receivedBytes += len(p)
+	if s.closed {
+		return net.ErrClosed
+	}
+	err := s.head.Count(p)
+	s.headRefused = s.headRefused || err != nil
+	return err
 }
 
-// recordRead records n bytes read. It reports false if the connection has been closed and the
-// bytes must be discarded.
-func (s *idleState) recordRead(n int) bool {
+// isHeadRefused reports whether recordRead has failed because of the head.
+func (s *idleState) isHeadRefused() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.receivedBytes += n
-	return !s.closed
+	return s.headRefused
 }
 
 // closeIfIdle marks the connection as closed if it is still idle, and reports whether it is
@@ -86,13 +111,36 @@
 	s.closed = true
 }
 
+// headFiller replaces the rest of a head that has too many lines. http.Server then finds the head too large
+// and answers as it does to any such head.
+const headFiller = 'x'
+
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
+	if c.isHeadRefused() {
+		return fill(p), nil
+	}
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.recordRead(n) {
-		return 0, net.ErrClosed
+	if n == 0 {
+		return n, err
+	}
+	switch recordErr := c.recordRead(p[:n]); {
+	case recordErr == nil:
+		return n, err
+	case !c.isHeadRefused():
+		return 0, recordErr
+	default:
+		c.onLongHead(c.RemoteAddr(), recordErr)
+		return fill(p), nil
+	}
+}
+
+// fill overwrites p with headFiller and returns its length.
+func fill(p []byte) int {
+	for i := range p {
+		p[i] = headFiller
 	}
-	return n, err
+	return len(p)
 }
 
 // Close implements net.Conn. http.Server calls it for idle connections when it shuts down.
--- a/daemon/entry/idle_test.go
+++ b/daemon/entry/idle_test.go
@@ -64,7 +64,7 @@
 			Handler:   http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {}),
 			ConnState: newIdleCloser(func() time.Duration { return 15 * time.Second }).connState,
 		}
-		go func() { _ = server.Serve(callerListener{listener}) }()
+		go func() { _ = server.Serve(callerListener{Listener: listener}) }()
 		defer func() { _ = server.Close() }()
 		defer close(listener.conns)
 		answers := bufio.NewReader(far)
--- a/daemon/entry/ingress_test.go
+++ b/daemon/entry/ingress_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/pistachioarch/pistachioarch/wire/headlimit"
 	"github.com/pistachioarch/pistachioarch/wire/ownheaders"
 )
 
@@ -18,11 +19,17 @@
 // host closes the connection before.
 func (s *testSystem) postRaw(text string, n int) []int {
 	s.t.Helper()
-	c, err := net.Dial("tcp", s.server.Listener.Addr().String())
-	require.NoError(s.t, err)
+	return postRawTo(s.t, s.server.Listener.Addr().String(), text, n)
+}
+
+// postRawTo is postRaw for an address at which a host accepts connections.
+func postRawTo(t *testing.T, address, text string, n int) []int {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
 	defer c.Close()
 	_, err = io.WriteString(c, text)
-	require.NoError(s.t, err)
+	require.NoError(t, err)
 	in := bufio.NewReader(c)
 	var statuses []int
 	for len(statuses) < n {
@@ -88,6 +95,46 @@
 	require.Equal(t, "b", x.requests()[1].Body)
 }
 
+// serveCallers makes the host of a system accept callers' connections itself and returns its address.
+func (s *testSystem) serveCallers() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(s.t, err)
+	s.host.Serve(listener)
+	s.t.Cleanup(s.host.Close)
+	return listener.Addr().String()
+}
+
+// A head of very many lines must be refused before it is parsed: the memory of its map of headers is not
+// accounted for.
+func TestHeadOfManyLinesIsRefused(t *testing.T) {
+	x := newFakeTarget(t, "t1", func(_ int, _ received, id string) (string, bool) { return okAnswer(id, "ok"), false })
+	s := newSystem(t, x)
+	address := s.serveCallers()
+	lines := ""
+	for i := range 10 * headlimit.MaxLines {
+		lines += fmt.Sprintf("x%d: y\r\n", i)
+	}
+	require.Equal(t, []int{http.StatusRequestHeaderFieldsTooLarge}, postRawTo(t, address, postHead("1", lines, "Content-Length: 1\r\n\r\na"), 1))
+	require.Equal(t, []int{http.StatusOK, http.StatusRequestHeaderFieldsTooLarge}, postRawTo(t, address,
+		postHead("2", "Content-Length: 1\r\n\r\na")+postHead("3", lines, "Content-Length: 1\r\n\r\na"), 2))
+	require.Len(t, x.requests(), 1)
+}
+
+// The lines of bodies must not be counted as lines of heads, also if requests are pipelined.
+func TestBodyOfManyLinesIsServed(t *testing.T) {
+	x := newFakeTarget(t, "t1", func(_ int, _ received, id string) (string, bool) { return okAnswer(id, "ok"), false })
+	s := newSystem(t, x)
+	body := strings.Repeat("\n", 900)
+	text := ""
+	for i := range 4 {
+		text += postHead(fmt.Sprint(i), fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)), body)
+	}
+	require.Equal(t, []int{200, 200, 200, 200}, postRawTo(t, s.serveCallers(), text, 4))
+	for _, r := range x.requests() {
+		require.Equal(t, body, r.Body)
+	}
+}
+
 func TestRequestsWithoutConfigurationAreRetriable(t *testing.T) {
 	s := newSystem(t)
 	s.host.table.Store(nil)
