daemon/quorum, daemon/history, daemon/entry: a large chain is sent to an entry host once it has memory for it

Change: a read names the size up to which the chain may come at once, 64 KiB, which each admitted request is charged anyway. Of a longer one the member sends the size; the host reserves that and asks one member for it. If there is no memory the turn is refused as overloaded, at once, with a wait. The search for a chain is a type of its own.

The code before has no such bound.

--- a/ctl/replicas/traffic_test.go
+++ b/ctl/replicas/traffic_test.go
@@ -49,7 +49,7 @@
 		records = append(records, &historypb.Record{Change: &historypb.Record_Turn{
 			Turn: &historypb.Turn{Turn: id(index), Previous: previous, Content: make([]byte, turnInputBytes)}}})
 	}
-	require.NoError(d.t, e.Write(ctx, program, time.Minute, records...))
+	require.NoError(d.t, e.WriteTurn(ctx, time.Hour, program, time.Minute, quorum.Chain{Turns: history.Chain}, records...))
 	time.Sleep(50 * time.Millisecond)
 }
 
--- a/daemon/entry/turn.go
+++ b/daemon/entry/turn.go
@@ -40,6 +40,8 @@
 	eventCount int64
 	// chain holds the turns before this one, newest first. Their contents are parts of the request's body.
 	chain []*historypb.Turn
+	// reservedChainBytes is the memory reserved for a large chain before it is read.
+	reservedChainBytes int64
 	// historyProgram is the program name under which the turn and those before it are
 	// stored; see exchange.historyProgram.
 	historyProgram string
@@ -150,14 +152,16 @@
 	if x.route.Retained {
 		previous = x.customerScoped(x.call.PreviousTurn)
 	}
+	query := quorum.Query{Program: x.budgetProgram(), Parts: x.programPartIDs(), Request: x.fingerprint, ReserveChain: t.reserveChain(ctx)}
 	if t.historyProgram == x.budgetProgram() || previous == "" {
-		return x.host.History.ReadQuery(ctx, quorum.Query{Program: x.budgetProgram(), Turn: previous, Parts: x.programPartIDs(), Request: x.fingerprint})
+		query.Turn = previous
+		return x.host.History.ReadQuery(ctx, query)
 	}
-	budgetHistory, err := x.host.History.ReadQuery(ctx, quorum.Query{Program: x.budgetProgram(), Parts: x.programPartIDs(), Request: x.fingerprint})
+	budgetHistory, err := x.host.History.ReadQuery(ctx, query)
 	if err != nil {
 		return nil, err
 	}
-	chain, err := x.host.History.Read(ctx, t.historyProgram, previous)
+	chain, err := x.host.History.ReadQuery(ctx, quorum.Query{Program: t.historyProgram, Turn: previous, ReserveChain: query.ReserveChain})
 	if err != nil {
 		return nil, err
 	}
@@ -191,7 +195,8 @@
 // cannot succeed.
 func (t *turn) historyFailure(err error) error {
 	f := *failure.From(err)
-	if f.Kind == failure.UnknownTurn || f.Kind == failure.IncompleteChain {
+	switch f.Kind {
+	case failure.UnknownTurn, failure.IncompleteChain, failure.Overloaded:
 		return &f
 	}
 	f.Kind, f.Ran, f.RetryAfter = failure.HistoryUnavailable, failure.RanNo, t.x.historyRetryDelay()
@@ -224,6 +229,18 @@
 	return nil
 }
 
+// reserveChain returns a function that makes sure that memory is reserved for a chain of n bytes.
+func (t *turn) reserveChain(ctx context.Context) func(n int64) error {
+	return func(n int64) error {
+		missing := n - t.reservedChainBytes
+		if err := t.x.held.reserve(ctx, held.Prompt, missing, maxRequestMemoryWait); err != nil {
+			return err
+		}
+		t.reservedChainBytes = max(t.reservedChainBytes, n)
+		return nil
+	}
+}
+
 // reserveMemory reserves memory for the chain, for the prompt that is built from it, and for the
 // input in the record of the turn. It returns the size of the chain in bytes.
 func (t *turn) reserveMemory(ctx context.Context, chain []*historypb.Turn) (chainBytes int64, err error) {
@@ -238,7 +255,7 @@
 	if t.x.route.Retained {
 		size += inputBytes
 	}
-	return chainBytes, t.x.held.reserve(ctx, held.Prompt, size, maxRequestMemoryWait)
+	return chainBytes, t.x.held.reserve(ctx, held.Prompt, size-t.reservedChainBytes, maxRequestMemoryWait)
 }
 
 // finish makes the turn and its budget use durable. The caller of a turn that is not retained
--- a/daemon/history/server.go
+++ b/daemon/history/server.go
@@ -312,13 +312,27 @@
 	s.meter.Count("reads")
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return &historypb.Reply{
+	reply := &historypb.Reply{
 		Status:     historypb.Status_STATUS_OK,
 		Spending:   s.ledger.Spending(r.Program),
 		Chain:      s.ledger.Chain(r.Turn),
 		Ran:        s.ledger.LongestRuns(r.Program, r.Parts),
 		BrokenRuns: s.ledger.BrokenRuns(r.Program, r.Request),
 	}
+	if size := contentBytes(reply.Chain); r.MaxChainBytes > 0 && size > r.MaxChainBytes {
+		s.meter.Count("chains", "left_out")
+		reply.Chain, reply.ChainBytes = nil, size
+	}
+	return reply
+}
+
+// contentBytes returns the size of the contents of turns, in bytes.
+func contentBytes(turns []*historypb.Turn) int64 {
+	size := int64(0)
+	for _, t := range turns {
+		size += int64(len(t.Content))
+	}
+	return size
 }
 
 // copy answers with a page of a slot. The first page waits for the writes that were in progress
--- a/daemon/quorum/read.go
+++ b/daemon/quorum/read.go
@@ -41,6 +41,9 @@
 	Parts []string
 	// Request is the fingerprint of the request whose broken runs are read; empty for none.
 	Request string
+	// ReserveChain makes sure that memory is reserved for a chain of n bytes, which is larger than
+	// maxUnreservedChainBytes, before a member sends it. If it is nil chains of any size are read.
+	ReserveChain func(n int64) error
 }
 
 // ReadQuery is Read for a Query, and also returns the broken runs of a request.
@@ -48,7 +51,7 @@
 	startedAt := time.Now()
 	for {
 		history, err := c.readOnce(ctx, q)
-		if err == nil || failure.Is(err, failure.UnknownTurn) || failure.Is(err, failure.IncompleteChain) {
+		if err == nil || isFinal(err) {
 			c.meter.Observe("history_read", time.Since(startedAt))
 			return history, err
 		}
@@ -59,6 +62,15 @@
 	}
 }
 
+// isFinal reports whether a failed read would fail again, or must not wait for memory any longer.
+func isFinal(err error) bool {
+	switch failure.From(err).Kind {
+	case failure.UnknownTurn, failure.IncompleteChain, failure.Overloaded:
+		return true
+	}
+	return false
+}
+
 func (c *Client) readOnce(ctx context.Context, q Query) (*ProgramHistory, error) {
 	m := c.currentMap()
 	if m == nil || !m.IsAssigned() {
@@ -69,7 +81,7 @@
 		return nil, failure.New(failure.HistoryUnavailable, "no member in the region of %q", q.Program)
 	}
 	history := &ProgramHistory{}
-	turns := map[string]*historypb.Turn{}
+	chain := &chainReader{client: c, slotMap: m, slot: slot, reserve: q.ReserveChain, turns: map[string]*historypb.Turn{}}
 	// The first replica to be asked sends the chain, and so do those that are asked because it
 	// fails or is late; the others only confirm the budget and the broken runs. The same holds for the targets of
 	// earlier turns if the slot allows a quorum first, since the first replica of such a slot
@@ -80,7 +92,7 @@
 			first = member
 		}
 		if member == first || additional && !firstReplied {
-			return &historypb.Read{Program: q.Program, Turn: q.Turn, Parts: q.Parts, Request: q.Request}
+			return &historypb.Read{Program: q.Program, Turn: q.Turn, Parts: q.Parts, Request: q.Request, MaxChainBytes: chain.maxBytes()}
 		}
 		if m.AllowsQuorumFirst(int(slot)) {
 			return &historypb.Read{Program: q.Program, Request: q.Request}
@@ -91,22 +103,18 @@
 		history.Usage.Merge(r.Spending)
 		history.Runs = append(history.Runs, r.Ran...)
 		history.BrokenRuns = append(history.BrokenRuns, r.BrokenRuns...)
-		addTurns(turns, r.Chain)
+		chain.add(member, r)
 	})
+	if err == nil {
+		err = chain.fetchLeftOut(ctx, q.Turn)
+	}
 	if err != nil {
 		return nil, err
 	}
-	missing := history.link(q.Turn, turns)
-	for missing != "" {
-		if err := c.findTurn(ctx, m, slot, missing, turns); err != nil {
-			return nil, err
-		}
-		if turns[missing] == nil {
-			if err := c.findInAnySlot(ctx, m, missing, turns); err != nil {
-				return nil, c.chainFailure(err, q.Turn, missing)
-			}
+	for missing := history.link(q.Turn, chain.turns); missing != ""; missing = history.link(q.Turn, chain.turns) {
+		if err := chain.find(ctx, missing); err != nil {
+			return nil, c.chainFailure(err, q.Turn, missing)
 		}
-		missing = history.link(q.Turn, turns)
 	}
 	return history, nil
 }
@@ -159,7 +167,7 @@
 	r := &round{
 		client: c, slotMap: m, slot: slot, members: members,
 		build: func(member string, additional bool) *historypb.Request {
-			return &historypb.Request{Call: &historypb.Request_Read{Read: build(member, additional)}}
+			return readRequest(build(member, additional))
 		},
 		accept: func(member string, reply *historypb.Reply) bool {
 			handle(member, reply)
@@ -176,78 +184,3 @@
 	}
 	return incompleteError(r.lastErr, "%d more replies needed for a complete read of slot %d", repliesNeeded, slot)
 }
-
-// findTurn asks the replicas of a slot for a turn and the turns before it, and adds them to turns.
-func (c *Client) findTurn(ctx context.Context, m *placement.Map, slot uint32, turn string, turns map[string]*historypb.Turn) error {
-	c.meter.Count("history_chains", "incomplete")
-	if m.AllowsQuorumFirst(int(slot)) && c.findAtPreferred(ctx, m, slot, turn, turns) {
-		return nil
-	}
-	return c.readReplicas(ctx, m, slot,
-		func(string, bool) *historypb.Read { return &historypb.Read{Turn: turn} },
-		func(_ string, r *historypb.Reply) { addTurns(turns, r.Chain) })
-}
-
-// findAtPreferred asks the preferred replica, to which all data centres write, for a turn and
-// reports whether it has it. A program whose requests move to another data centre then costs the
-// transfer of one chain instead of one from each replica.
-func (c *Client) findAtPreferred(ctx context.Context, m *placement.Map, slot uint32, turn string, turns map[string]*historypb.Turn) bool {
-	r := &round{
-		client: c, slotMap: m, slot: slot, members: c.preferredReplicas(m, slot),
-		build: func(string, bool) *historypb.Request {
-			return &historypb.Request{Call: &historypb.Request_Read{Read: &historypb.Read{Turn: turn}}}
-		},
-		accept: func(_ string, reply *historypb.Reply) bool {
-			addTurns(turns, reply.Chain)
-			return true
-		},
-	}
-	return r.run(ctx, 1) && turns[turn] != nil
-}
-
-// findInAnySlot asks all members for a turn that another program may have stored. It fails with
-// UnknownTurn if the members that answered hold every acknowledged record of all slots, and with
-// HistoryUnavailable if too few answered.
-func (c *Client) findInAnySlot(ctx context.Context, m *placement.Map, turn string, turns map[string]*historypb.Turn) error {
-	members := make([]string, 0, len(m.Members))
-	for id := range m.Members {
-		members = append(members, id)
-	}
-	replies := c.sendAll(m, 0, members, func(string) *historypb.Request {
-		return &historypb.Request{Call: &historypb.Request_Read{Read: &historypb.Read{Turn: turn, AnySlot: true}}}
-	})
-	answered := map[string]bool{}
-	for range members {
-		answer := nextReply(ctx, replies)
-		if answer.err != nil {
-			continue
-		}
-		answered[answer.member] = true
-		addTurns(turns, answer.reply.Chain)
-		if turns[turn] != nil {
-			return nil
-		}
-	}
-	if !coversAllSlots(m, answered) {
-		return failure.New(failure.HistoryUnavailable, "turn %s not found, %d of %d members answered", turn, len(answered), len(members))
-	}
-	return failure.New(failure.UnknownTurn, "turn %s", turn)
-}
-
-// coversAllSlots reports whether the members that answered together hold every acknowledged
-// record: a read quorum of each slot, with the former member where a read needs it.
-func coversAllSlots(m *placement.Map, answered map[string]bool) bool {
-	for i := range m.Slots {
-		s := &m.Slots[i]
-		active := 0
-		for _, r := range s.Replicas {
-			if !r.Joining && answered[r.Member] {
-				active++
-			}
-		}
-		if former, needed := m.FormerMemberForRead(i); active < m.ReadQuorum(s) || needed && !answered[former] {
-			return false
-		}
-	}
-	return true
-}
