daemon/entry: the buffer of a stream is accounted for before it grows

What callers saw: nothing yet. The memory account was charged the length of what a stream had sent of an unfinished event, while the buffer that held it had up to half as much again, and the data of each event was copied once more.

Change: the reader reserves the size of a larger buffer before it allocates it, reads into it without a buffer between, does not copy data of one line, and does not search again what it has searched.

TestBufferOfUnfinishedEventIsReserved fails on the code before, TestBufferOfShortEventsStaysSmall and FuzzEvents (10 s) hold.

--- a/daemon/entry/events.go
+++ b/daemon/entry/events.go
@@ -5,8 +5,14 @@
 	"io"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds one event of a stream.
+	maxEventBytes = 1 << 20
+	// eventChunkBytes is how much of a stream is read at once.
+	eventChunkBytes = 2 << 10
+	// initialEventBytes is the room for events that are read together in a new buffer.
+	initialEventBytes = 2 << 10
+)
 
 // event is one whole event of a stream.
 type event struct {
@@ -21,34 +27,52 @@
 type eventReader struct {
 	source io.Reader
 	buf    []byte
-	err    error
-	// reserve reserves memory for an unfinished event beyond the reserved bytes; nil reserves
-	// nothing.
+	// searched is the length of the part of buf that holds no end of an event.
+	searched int
+	err      error
+	// reserve reserves memory for the buffer beyond the reserved bytes; nil reserves nothing.
 	reserve  func(n int64) error
 	reserved int64
 }
 
-// reserveChunk reserves memory for one more chunk.
-func (r *eventReader) reserveChunk(chunkSize int) error {
-	size := int64(len(r.buf)+chunkSize) - r.reserved
-	if r.reserve == nil || size <= 0 {
+// growBuffer makes room for n more bytes. Memory for a larger buffer is reserved before it is allocated.
+func (r *eventReader) growBuffer(n int) error {
+	if len(r.buf)+n <= cap(r.buf) {
 		return nil
 	}
-	if err := r.reserve(size); err != nil {
-		return err
+	// The part before buf holds events that were returned and are not needed any more.
+	size := max(2*len(r.buf), initialEventBytes) + n
+	if missing := int64(size) - r.reserved; r.reserve != nil && missing > 0 {
+		if err := r.reserve(missing); err != nil {
+			return err
+		}
+		r.reserved += missing
 	}
-	r.reserved += size
+	r.buf = append(make([]byte, 0, size), r.buf...)
 	return nil
 }
 
+// takeEvent removes the first whole event from the buffer and returns it, nil if there is none.
+func (r *eventReader) takeEvent() []byte {
+	// The last byte that was searched may be the first line feed of the event's end.
+	start := max(0, r.searched-1)
+	end := bytes.Index(r.buf[start:], []byte("\n\n"))
+	if end < 0 {
+		r.searched = len(r.buf)
+		return nil
+	}
+	end += start + 2
+	raw := r.buf[:end]
+	r.buf, r.searched = r.buf[end:], 0
+	return raw
+}
+
 // next returns the next whole event. At the end of the stream it returns io.EOF, or
 // io.ErrUnexpectedEOF if the stream ended inside an event; for an event of more than
 // maxEventBytes it returns io.ErrShortBuffer.
 func (r *eventReader) next() (event, error) {
 	for {
-		if end := bytes.Index(r.buf, []byte("\n\n")); end >= 0 {
-			raw := r.buf[:end+2]
-			r.buf = r.buf[end+2:]
+		if raw := r.takeEvent(); raw != nil {
 			return parseEvent(raw), nil
 		}
 		if r.err != nil {
@@ -60,12 +84,12 @@
 		if len(r.buf) > maxEventBytes {
 			return event{}, io.ErrShortBuffer
 		}
-		var chunk [2048]byte
-		if err := r.reserveChunk(len(chunk)); err != nil {
+		if err := r.growBuffer(eventChunkBytes); err != nil {
 			return event{}, err
 		}
-		n, err := r.source.Read(chunk[:])
-		r.buf = append(r.buf, chunk[:n]...)
+		end := len(r.buf)
+		n, err := r.source.Read(r.buf[end : end+eventChunkBytes])
+		r.buf = r.buf[:end+n]
 		r.err = err
 	}
 }
@@ -81,11 +105,12 @@
 		case "id":
 			e.id = string(value)
 		case "data":
-			if !firstData {
-				e.data = append(e.data, '\n')
+			if firstData {
+				e.data = value[:len(value):len(value)] // the data of one line is not copied
+				firstData = false
+				continue
 			}
-			e.data = append(e.data, value...)
-			firstData = false
+			e.data = append(append(e.data, '\n'), value...)
 		}
 	}
 	return e
--- a/daemon/entry/events_test.go
+++ b/daemon/entry/events_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"strings"
 	"testing"
 	"testing/iotest"
 
@@ -47,6 +48,36 @@
 	}
 }
 
+// The whole buffer of an event that does not end must be accounted for, not only its bytes.
+func TestBufferOfUnfinishedEventIsReserved(t *testing.T) {
+	reserved := int64(0)
+	r := &eventReader{source: bytes.NewReader(make([]byte, 2*maxEventBytes)), reserve: func(n int64) error {
+		reserved += n
+		return nil
+	}}
+	_, err := r.next()
+	require.Equal(t, io.ErrShortBuffer, err)
+	require.GreaterOrEqual(t, reserved, int64(cap(r.buf)))
+	require.Equal(t, r.reserved, reserved)
+}
+
+// A stream of many events must not be charged for more than the largest buffer that it needed.
+func TestBufferOfShortEventsStaysSmall(t *testing.T) {
+	reserved := int64(0)
+	r := &eventReader{source: strings.NewReader(strings.Repeat("id: 1\ndata: a\n\n", 10_000)), reserve: func(n int64) error {
+		reserved += n
+		return nil
+	}}
+	count := 0
+	for ; ; count++ {
+		if _, err := r.next(); err != nil {
+			break
+		}
+	}
+	require.Equal(t, 10_000, count)
+	require.LessOrEqual(t, reserved, int64(4*eventChunkBytes))
+}
+
 func FuzzEvents(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
 	f.Fuzz(func(t *testing.T, text []byte) {
