--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -39,9 +39,9 @@
 
 // Ledger holds the records of all slots of a member. It is not safe for concurrent use.
 //
-// A turn is removed when all programs that have it have expired. A chain of turns that began in another
-// program would so lose its beginning: who writes a turn therefore makes its program take over the turns
-// before it; see LackingTurns.
+// A turn is removed when all programs that have it have expired. A chain that began in another program
+// would lose its beginning in this way, so the program of a turn takes over all turns before it; LackingTurns
+// tells which.
 type Ledger struct {
 	programs  map[string]*program
 	slots     map[uint32]map[string]*program
--- a/daemon/quorum/chain_read.go
+++ b/daemon/quorum/chain_read.go
@@ -75,9 +75,8 @@
 	if err := r.reserve(large.bytes); err != nil {
 		return err
 	}
-	// The member may have the chain in another slot.
-	request := &historypb.Read{Turn: turn, AnySlot: true, MaxChainBytes: large.bytes}
-	replies := r.client.sendAll(r.slotMap, 0, []string{large.member}, func(string) *historypb.Request { return readRequest(request) })
+	request := readRequest(&historypb.Read{Turn: turn, MaxChainBytes: large.bytes})
+	replies := r.client.sendAll(r.slotMap, r.slot, []string{large.member}, func(string) *historypb.Request { return request })
 	answer := nextReply(ctx, replies)
 	if answer.err != nil {
 		return failure.Wrap(answer.err, failure.HistoryUnavailable, "read chain of %d bytes", large.bytes)
