daemon/quorum, daemon/history, core/ledger: a chain that its program has on a quorum is not sent to further replicas

What callers saw: late programs in the worst seconds of deployments that tolerate two lost disks.

Cause: there a write goes to the nearest quorum first. Each replica beyond it that a late or moved write reaches lacked the turns before, named them and was sent them, at the end of the caller's answer.

Change: a turn names the program that stored it, and a member says with a chain whether the program of the read has all of it there and stored the last turn itself. Then each turn before is on a quorum under this program, by induction over the writes that were acknowledged, and the write does not name the chain, where slots write to a quorum first. All replicas of such slots are told the program's retention. Elsewhere a write names it as before.

Tests: TestStoredChainIsNotSentToReplicasBeyondQuorum; TestChainOutlivesProgramsThatStoredIt plays a cluster of five replicas too.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -196,6 +196,16 @@
 	return elsewhere, missing
 }
 
+// OwnsChain reports whether a chain, newest turn first, is complete, the program has all its turns and stored
+// the newest itself.
+func (l *Ledger) OwnsChain(name string, chain []*historypb.Turn) bool {
+	p := l.programs[name]
+	if p == nil || len(chain) == 0 || chain[0].Program != name || chain[len(chain)-1].Previous != "" {
+		return false
+	}
+	return !slices.ContainsFunc(chain, func(t *historypb.Turn) bool { return !p.turnIDs[t.Turn] })
+}
+
 // RecordPage returns all records of the named programs, in the order given, and whether programs
 // are left over. It stops after the program with which the page reaches limit bytes.
 func (l *Ledger) RecordPage(names []string, limit int) (page []*historypb.Record, more bool) {
--- a/ctl/replicas/chain_test.go
+++ b/ctl/replicas/chain_test.go
@@ -18,6 +18,7 @@
 		previous = chain[0].Turn
 	}
 	record := turnRecord(turn, previous)
+	record.GetTurn().Program = program
 	require.NoError(t, e.WriteTurn(t.Context(), time.Hour, program, programRetention, quorum.Chain{Turns: chain}, settleRecord(turn), record))
 	return record.GetTurn()
 }
@@ -108,6 +109,46 @@
 	}
 }
 
+// A replica that takes the place of a slow one in a quorum must not be sent the turns that are on a quorum
+// already; a program that goes on from another one's turn has none there.
+func TestStoredChainIsNotSentToReplicasBeyondQuorum(t *testing.T) {
+	runInBubble(t, func(t *testing.T) {
+		c := newCluster(t, 2, tenMembers...)
+		defer c.close()
+		e := c.startEntryHost("a")
+		c.warmUp(e)
+		first := e.writeTurn(t, "p", "1")
+		second := e.writeTurn(t, "p", "2", first)
+		own, err := e.Read(t.Context(), "p", "2")
+		require.NoError(t, err)
+		require.True(t, own.OwnChain)
+		other, err := e.Read(t.Context(), "q", "2")
+		require.NoError(t, err)
+		require.False(t, other.OwnChain)
+
+		c.resetCalls()
+		c.net.SetFrozen(c.quorumOf("p")[0].ip, true)
+		record := turnRecord("3", "2")
+		chain := quorum.Chain{Turns: []*historypb.Turn{second, first}, Own: own.OwnChain}
+		require.NoError(t, e.WriteTurn(t.Context(), time.Hour, "p", programRetention, chain, settleRecord("3"), record))
+		time.Sleep(time.Second)
+		for _, m := range c.members {
+			require.LessOrEqual(t, m.turnsSent("p"), 1)
+		}
+	})
+}
+
+// quorumOf returns the members that have turns of a program.
+func (c *cluster) quorumOf(program string) (list []*member) {
+	for _, m := range c.members {
+		if len(m.ownTurns(program)) > 0 {
+			list = append(list, m)
+		}
+	}
+	require.Len(c.t, list, c.slots.Quorum())
+	return list
+}
+
 // ownTurns returns the IDs of the turns that the member has in a program.
 func (m *member) ownTurns(program string) map[string]bool {
 	reply := make(chan *historypb.Reply, 1)
--- a/ctl/replicas/traffic_test.go
+++ b/ctl/replicas/traffic_test.go
@@ -47,9 +47,9 @@
 		Turn: id(index), Tokens: 30, Ran: &historypb.Ran{Target: "i-57ef422ba4", Born: 1_790_000_000_000, Part: part(index + 1), Prompt: 4000}}}}}
 	if retained {
 		records = append(records, &historypb.Record{Change: &historypb.Record_Turn{
-			Turn: &historypb.Turn{Turn: id(index), Previous: previous, Content: make([]byte, turnInputBytes)}}})
+			Turn: &historypb.Turn{Turn: id(index), Previous: previous, Program: program, Content: make([]byte, turnInputBytes)}}})
 	}
-	require.NoError(d.t, e.WriteTurn(ctx, time.Hour, program, time.Minute, quorum.Chain{Turns: history.Chain}, records...))
+	require.NoError(d.t, e.WriteTurn(ctx, time.Hour, program, time.Minute, quorum.Chain{Turns: history.Chain, Own: history.OwnChain}, records...))
 	time.Sleep(50 * time.Millisecond)
 }
 
--- a/ctl/roles/branches_test.go
+++ b/ctl/roles/branches_test.go
@@ -61,9 +61,8 @@
 	programCount       int
 }
 
-// runBranches runs lines of turns over many programs while hosts fail one after the other.
-func runBranches(t *testing.T, seed uint64) *branchOutcome {
-	c := newCluster(t)
+// runBranches runs lines of turns over many programs while hosts of a cluster fail one after the other.
+func runBranches(c *cluster, seed uint64) *branchOutcome {
 	defer c.close()
 	k := newCaller(c)
 	defer k.client.CloseIdleConnections()
@@ -227,10 +226,10 @@
 // programs that stored the chain's earlier turns have expired.
 func TestChainOutlivesProgramsThatStoredIt(t *testing.T) {
 	runAllCases(t)
-	for seed, o := range branchOutcomes {
-		require.Empty(t, o.lost, "seed %d", seed)
-		require.Empty(t, o.wrongPrompts, "seed %d", seed)
-		require.Greater(t, o.served, branchLines*10, "seed %d", seed)
-		require.Greater(t, o.programCount, o.lineCount, "seed %d", seed)
+	for name, o := range branchOutcomes {
+		require.Empty(t, o.lost, name)
+		require.Empty(t, o.wrongPrompts, name)
+		require.Greater(t, o.served, branchLines*10, name)
+		require.Greater(t, o.programCount, o.lineCount, name)
 	}
 }
--- a/ctl/roles/invariants_test.go
+++ b/ctl/roles/invariants_test.go
@@ -55,8 +55,8 @@
 	versionsResult  *versionsOutcome
 	// crashOutcomes are the outcomes of crashCases.
 	crashOutcomes = map[string]*crashOutcome{}
-	// branchOutcomes are the outcomes of runBranches, by seed.
-	branchOutcomes = map[uint64]*branchOutcome{}
+	// branchOutcomes are the outcomes of runBranches, by cluster and seed.
+	branchOutcomes = map[string]*branchOutcome{}
 	// keyRemovals, quotaOutcomes and evacuationOutcomes are the outcomes of customerFaults.
 	keyRemovals, quotaOutcomes = map[string]*customerOutcome{}, map[string]*customerOutcome{}
 	evacuationOutcomes         = map[string]*evacuationOutcome{}
@@ -103,7 +103,8 @@
 			}
 			for seed := crashSeed; seed < crashSeed+branchSeeds; seed++ {
 				if selectedCase == "" || selectedCase == branchCase {
-					branchOutcomes[seed] = runBranches(t, seed)
+					branchOutcomes[fmt.Sprintf("three replicas, seed %d", seed)] = runBranches(newCluster(t), seed)
+					branchOutcomes[fmt.Sprintf("five replicas, seed %d", seed)] = runBranches(emptyCluster(t).startFiveReplicas(), seed)
 				}
 			}
 			if selectedCase == "" {
--- a/daemon/entry/turn.go
+++ b/daemon/entry/turn.go
@@ -40,6 +40,8 @@
 	eventCount int64
 	// chain holds the turns before this one, newest first. Their contents are parts of the request's body.
 	chain []*historypb.Turn
+	// ownChain is quorum.ProgramHistory.OwnChain.
+	ownChain bool
 	// reservedChainBytes is the memory reserved for a large chain before it is read.
 	reservedChainBytes int64
 	// historyProgram is the program name under which the turn and those before it are
@@ -134,6 +136,7 @@
 	}
 	x.markCached(programHistory.Runs)
 	x.programStarted = x.call.PreviousTurn != "" || programHistory.Usage.TokensExcluding(x.call.ID) > 0
+	t.ownChain = programHistory.OwnChain
 	return t.prependChain(ctx, programHistory.Chain)
 }
 
@@ -165,7 +168,7 @@
 	if err != nil {
 		return nil, err
 	}
-	budgetHistory.Chain = chain.Chain
+	budgetHistory.Chain, budgetHistory.OwnChain = chain.Chain, chain.OwnChain
 	return budgetHistory, nil
 }
 
@@ -270,14 +273,14 @@
 	defer func() { t.x.host.Meter.Observe("turn_finish", time.Since(startedAt)) }()
 	content := append(append([]byte(nil), t.input...), t.output...)
 	records := []*historypb.Record{t.settlementRecord(), {Change: &historypb.Record_Turn{
-		Turn: &historypb.Turn{Turn: t.x.customerScoped(t.x.call.ID), Previous: t.x.customerScoped(t.x.call.PreviousTurn), Content: content},
+		Turn: &historypb.Turn{Turn: t.x.customerScoped(t.x.call.ID), Previous: t.x.customerScoped(t.x.call.PreviousTurn), Content: content, Program: t.historyProgram},
 	}}}
 	if t.historyProgram != t.x.budgetProgram() {
 		// The settlement stored with the turn only makes all replicas there retain the
 		// turns before it.
 		defer t.settle()
 	}
-	chain := quorum.Chain{Turns: t.chain, Reserve: t.x.reserveFunc(ctx, held.Record)}
+	chain := quorum.Chain{Turns: t.chain, Own: t.ownChain, Reserve: t.x.reserveFunc(ctx, held.Record)}
 	if err := t.x.host.History.WriteTurn(ctx, unreachableHistoryTimeout, t.historyProgram, t.x.retention(), chain, records...); err != nil {
 		return failure.Unknown(failure.HistoryUnavailable, "turn not stored: %v", err)
 	}
--- a/daemon/history/server.go
+++ b/daemon/history/server.go
@@ -319,6 +319,7 @@
 		Ran:        s.ledger.LongestRuns(r.Program, r.Parts),
 		BrokenRuns: s.ledger.BrokenRuns(r.Program, r.Request),
 	}
+	reply.OwnChain = s.ledger.OwnsChain(r.Program, reply.Chain)
 	if size := contentBytes(reply.Chain); r.MaxChainBytes > 0 && size > r.MaxChainBytes {
 		s.meter.Count("chains", "left_out")
 		reply.Chain, reply.ChainBytes = nil, size
--- a/daemon/quorum/chain.go
+++ b/daemon/quorum/chain.go
@@ -4,16 +4,27 @@
 	"slices"
 
 	"github.com/pistachioarch/pistachioarch/core/historypb"
+	"github.com/pistachioarch/pistachioarch/core/placement"
 )
 
 // Chain is the turns before a turn that is written, newest first. The zero value is that of a first turn.
 type Chain struct {
 	Turns []*historypb.Turn
+	// Own is ProgramHistory.OwnChain.
+	Own bool
 	// Reserve reserves memory for n bytes of turns that are about to be sent to a member; nil reserves
 	// nothing. If it fails the member counts as failed.
 	Reserve func(n int64) error
 }
 
+// isStored reports whether each turn is on a quorum of a slot's replicas under the program, as far as that
+// slot needs it. If a program stored the last turn itself, the members that acknowledged it had the whole chain,
+// or each turn before was on a quorum already. Where writes go to a quorum first, the other replicas are told
+// of the program's retention, so this suffices; elsewhere a replica may also have missed that.
+func (c *Chain) isStored(m *placement.Map, slot uint32) bool {
+	return c.Own && m.AllowsQuorumFirst(int(slot))
+}
+
 // turnIDs returns the IDs of the turns.
 func (c *Chain) turnIDs() []string {
 	if len(c.Turns) == 0 {
--- a/daemon/quorum/read.go
+++ b/daemon/quorum/read.go
@@ -17,6 +17,9 @@
 	Usage ledger.Usage
 	// Chain is the requested chain of turns, newest first.
 	Chain []*historypb.Turn
+	// OwnChain reports that the program has all turns of the chain at a member, and stored the last of them
+	// itself.
+	OwnChain bool
 	// Runs lists the targets that have run prompts which end with one of the requested parts.
 	Runs []*historypb.Ran
 	// BrokenRuns are the broken runs of the requested request.
@@ -103,6 +106,7 @@
 		history.Usage.Merge(r.Spending)
 		history.Runs = append(history.Runs, r.Ran...)
 		history.BrokenRuns = append(history.BrokenRuns, r.BrokenRuns...)
+		history.OwnChain = history.OwnChain || r.OwnChain
 		chain.add(member, r)
 	})
 	if err == nil {
--- a/daemon/quorum/write.go
+++ b/daemon/quorum/write.go
@@ -70,6 +70,9 @@
 			r.Slot = slot
 		}
 	}
+	if chain.isStored(m, slot) {
+		chain = Chain{}
+	}
 	s := &m.Slots[slot]
 	members, first := c.writeMembers(m, slot)
 	c.sendUnconfirmed(m, slot, members[first:], spareSettlements(records))
