--- a/review/standin-2/overspent.go
+++ b/review/standin-2/overspent.go
@@ -15,6 +15,7 @@
 const (
 	turnTokens      = engineEvents * chunkTokens
 	overspentBudget = 4 * turnTokens
+	rounds          = 5
 )
 
 // program is a program of a client that counts the tokens it was handed.
@@ -62,7 +63,7 @@
 	}
 	time.Sleep(9 * time.Second) // catchUpS is 5.2
 
-	for round := 1; round <= 3; round++ {
+	for round := 1; round <= rounds; round++ {
 		if err := overspentRound(c, trouble, programs, leaving, wiped); err != nil {
 			return false, err
 		}
@@ -77,7 +78,7 @@
 		if over > 0 {
 			return true, nil
 		}
-		if !trouble {
+		if !trouble || round == rounds {
 			continue
 		}
 		if err := awaitCompleted(c, leaving.name); err != nil {
@@ -90,9 +91,7 @@
 		}
 		time.Sleep(7 * time.Second)
 		// The host that took over the slots of the one that left is the next to leave.
-		if leaving = c.hosts[3]; round == 2 {
-			leaving = c.hosts[6]
-		}
+		leaving = c.hosts[[]int{3, 6, 7, 8}[round-1]]
 	}
 	return false, nil
 }
