--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # disruption: TROUBLE=0. Needs the build of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/drill ] && [ -x target/pistachiod ] || { echo "not built"; exit 2; }
-exec target/review-2/drill overspent review/5/record.txt
+exec target/review-2/drill unsigned review/5/record.txt
--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -37,11 +37,13 @@
 	deadline              time.Duration
 }
 
-// result is what the client has seen of an attempt. whole is set if the stream ended as complete.
+// result is what the client has seen of an attempt. whole is set if the stream ended as complete,
+// signed if the answer has an engine's signature.
 type result struct {
 	status     int
 	events     int
 	whole      bool
+	signed     bool
 	retryAfter time.Duration
 	err        error
 }
@@ -91,7 +93,7 @@
 		return result{err: err}
 	}
 	defer resp.Body.Close()
-	r.status = resp.StatusCode
+	r.status, r.signed = resp.StatusCode, resp.Header.Get("X-Pistachioarch-Response-Signature") != ""
 	if seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
 		r.retryAfter = time.Duration(seconds * float64(time.Second))
 	}
--- a/review/standin-2/cluster.go
+++ b/review/standin-2/cluster.go
@@ -31,7 +31,9 @@
 	store  *store
 	seeds  []string
 	hosts  []*host
-	record *record
+	// engines are the stand-ins of engines.
+	engines []*engine
+	record  *record
 }
 
 const settingsText = `; Settings of one pistachiod role, as the platform renders them from platform/settings.ini.tmpl.
--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -17,6 +18,9 @@
 	events      int
 	gap         time.Duration
 	record      *record
+	// Every garble-th answer is spoiled; 0 for none. turns counts the answers.
+	garble atomic.Int64
+	turns  atomic.Int64
 
 	mu     sync.Mutex
 	active int
@@ -70,7 +74,13 @@
 	e.record.printf("engine %s runs %s, body of %d bytes", e.id, id, len(body))
 	w.Header().Set("X-Pistachioarch-Server-Load", load)
 	w.Header().Set("X-Pistachioarch-Weight-Versions", "1")
-	w.Header().Set("X-Pistachioarch-Response-Signature", "s."+id)
+	signature := "X-Pistachioarch-Response-Signature"
+	if n, every := e.turns.Add(1), e.garble.Load(); every > 0 && n%every == 0 {
+		// A spoiled answer: one wrong byte, the last one of the name of this line.
+		signature = "X-Pistachioarch-Response-Signaturf"
+		e.record.printf("engine %s spoils its answer to %s", e.id, id)
+	}
+	w.Header().Set(signature, "s."+id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for i := first + 1; i <= e.events; i++ {
--- a/review/standin-2/small.go
+++ b/review/standin-2/small.go
@@ -33,6 +33,7 @@
 		if err != nil {
 			return err
 		}
+		c.engines = append(c.engines, e)
 		c.store.put("servers", e.id, map[string]any{
 			"service": "agent-llm", "address": e.address, "zone": c.zones[i], "version": "v1", "slots": 16, "state": "ready",
 			"coldRemainingMs": 0, "sequence": 1, "phase": "dual", "models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}},
