daemon/entry: a streamed success without the target's signature is not passed on

Cause: whether a success is signed was asked in deliverPlain and, for hedged calls, in deliverable. The paths that take a stream (attempt, resume, and with them the caller who takes a stream up) only asked for status 200. The class is a check that each path makes for itself. By the same gap the turn was kept with what the answer held, its target counted as having served, and the load report in the spoiled head was taken.

Change: roundTrip, through which every answer of a target comes, returns a success without a signature as a failure (bad_answer, metric and log line). The paths need no check of their own any more. A signature without a value counts as none.

--- /dev/null
+++ b/daemon/entry/bad_answer_test.go
@@ -0,0 +1,149 @@
+package entry
+
+import (
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachioarch/pistachioarch/core/request"
+	"github.com/pistachioarch/pistachioarch/wire/ownheaders"
+)
+
+// signatureLine is the line of an answer's head with the signature.
+const signatureLine = ownheaders.Signature + ": s\r\n"
+
+// unsigned returns an answer without its signature.
+func unsigned(answer string) string { return strings.Replace(answer, signatureLine, "", 1) }
+
+// spoilings turn a signed success into one without a signature. They change the head only.
+var spoilings = map[string]func(answer string) string{
+	"no signature":                  unsigned,
+	"misspelt signature":            func(a string) string { return strings.Replace(a, signatureLine, "Pistachio-Signaturf: s\r\n", 1) },
+	"signature without a value":     func(a string) string { return strings.Replace(a, signatureLine, ownheaders.Signature+": \r\n", 1) },
+	"no signature, another success": func(a string) string { return unsigned(strings.Replace(a, "200 OK", "203 OK", 1)) },
+}
+
+// spoilFirst returns an answerFunc that spoils the first answer over all targets, and the number of requests
+// that they got.
+func spoilFirst(spoil func(string) string, answer func(id string) string) (answerFunc, *atomic.Int32) {
+	requestCount := &atomic.Int32{}
+	return func(_ int, _ received, id string) (string, bool) {
+		if requestCount.Add(1) == 1 {
+			return spoil(answer(id)), false
+		}
+		return answer(id), false
+	}, requestCount
+}
+
+// A success that is not signed must not reach a caller on any kind of route. The request is sent to another
+// target if it may run twice.
+func TestUnsignedSuccessIsNotPassedOn(t *testing.T) {
+	stream := func(id string) string { return okStream(id, 1, "a", "b") }
+	plain := func(id string) string { return okAnswer(id, "a") }
+	for path, c := range map[string]struct {
+		answer func(id string) string
+		status int
+		sends  int32
+	}{
+		"/plain/": {plain, http.StatusOK, 2},
+		"/once/":  {plain, http.StatusBadGateway, 1},
+		"/quick/": {stream, http.StatusOK, 2},
+		"/turn/":  {stream, http.StatusBadGateway, 1},
+	} {
+		for name, spoil := range spoilings {
+			t.Run(path+" "+name, func(t *testing.T) {
+				answer, requestCount := spoilFirst(spoil, c.answer)
+				s := newSystem(t, newFakeTarget(t, "t1", answer), newFakeTarget(t, "t2", answer))
+				got := s.postTurn(path, "1", "", "x")
+				require.NoError(t, got.err)
+				require.Equal(t, c.status, got.status)
+				require.Equal(t, c.status == http.StatusOK, got.header.Get(ownheaders.Signature) != "")
+				require.Equal(t, c.sends, requestCount.Load())
+			})
+		}
+	}
+}
+
+// A call that is sent a second time must not get the unsigned success that arrives first.
+func TestUnsignedSuccessDoesNotWinHedgedCall(t *testing.T) {
+	release := make(chan struct{})
+	requestCount := &atomic.Int32{}
+	answer := func(_ int, _ received, id string) (string, bool) {
+		if requestCount.Add(1) == 1 {
+			<-release
+			return okAnswer(id, "signed"), false
+		}
+		defer close(release)
+		return unsigned(okAnswer(id, "unsigned")), false
+	}
+	s := newSystem(t, newFakeTarget(t, "t1", answer), newFakeTarget(t, "t2", answer))
+	s.enableHedging(5)
+	got := s.post("/plain/", "x", ownheaders.ID, "1")
+	require.Equal(t, http.StatusOK, got.status)
+	require.Equal(t, "signed", got.body)
+	require.EqualValues(t, 2, requestCount.Load())
+}
+
+// A stream must not continue with events of an unsigned success, neither within one answer nor when its
+// caller takes it up.
+func TestStreamDoesNotContinueWithUnsignedSuccess(t *testing.T) {
+	for name, lastEvent := range map[string]string{"within one answer": "", "taken up": "2"} {
+		t.Run(name, func(t *testing.T) {
+			spoiled := &atomic.Bool{}
+			answer := func(_ int, r received, id string) (string, bool) {
+				switch {
+				case r.LastEvent == "":
+					return streamHead(id) + eventChunks(1, "a", "b") + "5\r\nid: 3", true
+				case spoiled.CompareAndSwap(false, true):
+					return unsigned(okStream(id, 3, "spoiled")), false
+				}
+				return okStream(id, 3, "c"), false
+			}
+			s := newSystem(t, newFakeTarget(t, "t1", answer), newFakeTarget(t, "t2", answer), newFakeTarget(t, "t3", answer))
+			s.allowAttempts("/quick/", 3)
+			got := s.postStream("p", 1, ownheaders.LastEvent, lastEvent)
+			require.NoError(t, got.err)
+			require.True(t, spoiled.Load())
+			require.Equal(t, http.StatusOK, got.status)
+			require.True(t, strings.HasSuffix(got.body, "id: 3\ndata: c\n\n"), got.body)
+			require.NotContains(t, got.body, "spoiled")
+		})
+	}
+}
+
+// Nothing of an unsigned success may be kept as a turn.
+func TestTurnOfUnsignedSuccessIsNotKept(t *testing.T) {
+	answer, requestCount := spoilFirst(unsigned, func(id string) string { return okStream(id, 1, "out") })
+	s := newSystem(t, newFakeTarget(t, "t1", answer))
+	require.Equal(t, http.StatusBadGateway, s.postTurn("/turn/", "1", "", "in1;").status)
+	require.Equal(t, http.StatusNotFound, s.postTurn("/turn/", "2", "1", "in2;").status)
+	require.EqualValues(t, 1, requestCount.Load())
+}
+
+// loadHeaders decodes a load report of full targets from every answer.
+type loadHeaders struct{ ownheaders.Headers }
+
+func (loadHeaders) Answer(status int, h http.Header) request.Answer {
+	a := ownheaders.Headers{}.Answer(status, h)
+	a.Load, a.HasLoad = request.Load{Running: 4, Capacity: 4}, true
+	return a
+}
+
+// An unsigned success counts as a failure of its target, and what its head reports of the target is ignored.
+func TestUnsignedSuccessCountsAgainstItsTarget(t *testing.T) {
+	for name, spoil := range map[string]func(string) string{"signed": strings.Clone, "unsigned": unsigned} {
+		t.Run(name, func(t *testing.T) {
+			x := newFakeTarget(t, "t1", func(_ int, _ received, id string) (string, bool) { return spoil(okStream(id, 1, "a")), false })
+			s := newSystem(t, x)
+			s.host.Headers = loadHeaders{}
+			s.postTurn("/turn/", "1", "", "x")
+			target := s.host.State().Targets[0]
+			require.Equal(t, name == "unsigned", target.Failures > 0)
+			require.Equal(t, name == "unsigned", target.ReportAgeMs < 0)
+			require.Zero(t, target.InFlight)
+		})
+	}
+}
--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -233,10 +233,9 @@
 	h.registry.RecordEvent(x.targetID, x.targetLoad, d, h.now())
 }
 
-// recordAnswerHead records that the target answered, and the load report in the head of its
-// answer. It is called when the head arrives: at the end of a stream the report would be outdated.
-func (h *Host) recordAnswerHead(t balance.TargetInfo, head request.Answer) {
-	h.reachability.recordHeard(t.ID)
+// recordLoadReport records the load report in the head of a target's answer. It is called when the
+// head arrives: at the end of a stream the report would be outdated.
+func (h *Host) recordLoadReport(t balance.TargetInfo, head request.Answer) {
 	if !head.HasLoad {
 		return
 	}
@@ -302,21 +301,40 @@
 }
 
 // roundTrip sends a request to a target and records what the head of the answer says of the
-// target.
+// target. A success that is no answer of the target to this request is returned as a failure, so that
+// no path can pass it on, keep it or count it for the target.
 func (h *Host) roundTrip(ctx context.Context, t balance.TargetInfo, req *targetpool.Request) (*targetpool.Response, error) {
 	sentAt := time.Now()
 	resp, err := h.pool.Do(ctx, req, h.decodeAnswer)
+	if err == nil {
+		h.Meter.Observe("target_head", time.Since(sentAt))
+		h.reachability.recordHeard(t.ID)
+		err = checkSuccess(t, resp)
+	}
 	switch {
 	case err == nil:
-		h.Meter.Observe("target_head", time.Since(sentAt))
-		h.recordAnswerHead(t, resp.Answer)
+		h.recordLoadReport(t, resp.Answer)
+		return resp, nil
 	case failure.Is(err, failure.BadAnswer):
 		h.Meter.Count("targets", "bad_answer")
 		h.Log.Warn("target sent what is no answer", "request", req.ID, "target", t.ID, "error", err.Error())
 	case failure.From(err).Ran == failure.RanNo && ctx.Err() == nil:
 		h.reachability.startProbing(t.ID, t.Address)
 	}
-	return resp, err
+	return nil, err
+}
+
+// isSuccess reports whether the status of an answer means that the target served the request.
+func isSuccess(status int) bool { return status < http.StatusMultipleChoices }
+
+// checkSuccess returns the failure of an answer that claims a success without the signature of its target:
+// its bytes are not the target's answer. It closes such an answer. Other answers pass.
+func checkSuccess(t balance.TargetInfo, resp *targetpool.Response) error {
+	if !isSuccess(resp.Status) || resp.Answer.NotRun || resp.Answer.Signed {
+		return nil
+	}
+	_ = resp.Body.Close() // nothing of it is read
+	return failure.Unknown(failure.BadAnswer, "answer of target %s with status %d has no signature", t.ID, resp.Status)
 }
 
 // refusalOutcome returns the outcome of a send that the target did not run. A misdirected one counts
--- a/daemon/entry/harness_test.go
+++ b/daemon/entry/harness_test.go
@@ -281,3 +281,12 @@
 func (s *testSystem) postTurn(path, id, previous, input string) answer {
 	return s.post(path, input, ownheaders.ID, id, ownheaders.Program, "p", ownheaders.Previous, previous, ownheaders.Budget, "100", ownheaders.MaxTokens, "12")
 }
+
+// allowAttempts sets the number of targets to which a request of a route may be sent.
+func (s *testSystem) allowAttempts(prefix string, n int) {
+	for _, r := range s.host.table.Load().Routes() {
+		if r.Prefix == prefix {
+			r.MaxAttempts = n
+		}
+	}
+}
--- a/daemon/entry/hedge.go
+++ b/daemon/entry/hedge.go
@@ -23,10 +23,10 @@
 
 // deliverable reports whether the answer can be sent to the caller while another send is in flight.
 func (r *sendResult) deliverable() bool {
-	if r.resp == nil || r.err != nil || r.resp.Answer.NotRun || r.resp.Status >= http.StatusInternalServerError || statusImpliesNotRun(r.resp.Status) {
+	if r.resp == nil || r.err != nil || r.resp.Answer.NotRun {
 		return false
 	}
-	return r.resp.Status >= http.StatusMultipleChoices || r.resp.Answer.Signed
+	return r.resp.Status < http.StatusInternalServerError && !statusImpliesNotRun(r.resp.Status)
 }
 
 // hedgeDelay returns how long to wait for an answer before the call is sent a second time; false
@@ -171,7 +171,7 @@
 
 // outcome returns the outcome for the target of an answer that is not sent to the caller.
 func (r *sendResult) outcome(ctx context.Context, f *failure.Failure) balance.Outcome {
-	clientError := r.resp.Status >= http.StatusMultipleChoices && r.resp.Status < http.StatusInternalServerError
+	clientError := !isSuccess(r.resp.Status) && r.resp.Status < http.StatusInternalServerError
 	if r.err == nil && clientError {
 		return balance.Served
 	}
--- a/daemon/entry/plain.go
+++ b/daemon/entry/plain.go
@@ -26,10 +26,6 @@
 		x.recordOutcome(t.ID, failureOutcome(ctx, f))
 		return x.repeatable(), f
 	}
-	if resp.Status < http.StatusMultipleChoices && !resp.Answer.Signed {
-		x.recordOutcome(t.ID, balance.Failed)
-		return x.repeatable(), failure.Unknown(failure.BadAnswer, "answer of target %s has no signature", t.ID)
-	}
 	if resp.Status < http.StatusInternalServerError {
 		x.recordOutcome(t.ID, balance.Served)
 		x.recordDuration(time.Since(x.sentAt))
