daemon/entry: every success on a streaming route is a stream

What callers saw: a turn that its target answers with another success than 200, such as 203, was answered as a plain answer: it was held back until its end, its budget stayed reserved and nothing of it was kept, so that the next turn got 404 (TestEverySuccessOfTurnIsKept, red before).

Cause: attempt and resume compared the status with 200; callers count each 2xx.

Change: both ask whether the status is a success. A resumed stream whose target answers with a server error counts against that target now; it counted as refused.

--- a/daemon/entry/bad_answer_test.go
+++ b/daemon/entry/bad_answer_test.go
@@ -114,6 +114,18 @@
 	}
 }
 
+// Another success than 200 on a streaming route is a stream too: it is kept as a turn and settles its budget.
+func TestEverySuccessOfTurnIsKept(t *testing.T) {
+	x := newFakeTarget(t, "t1", func(_ int, _ received, id string) (string, bool) {
+		return strings.Replace(okStream(id, 1, "out"), "200 OK", "203 OK", 1), false
+	})
+	s := newSystem(t, x)
+	require.Equal(t, http.StatusNonAuthoritativeInfo, s.postTurn("/turn/", "1", "", "in1;").status)
+	got := s.postTurn("/turn/", "2", "1", "in2;")
+	require.Equal(t, http.StatusNonAuthoritativeInfo, got.status)
+	require.Equal(t, "in1;out\nin2;", x.requests()[1].Body)
+}
+
 // Nothing of an unsigned success may be kept as a turn.
 func TestTurnOfUnsignedSuccessIsNotKept(t *testing.T) {
 	answer, requestCount := spoilFirst(unsigned, func(id string) string { return okStream(id, 1, "out") })
--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -263,7 +263,7 @@
 	if resp.Answer.NotRun {
 		return x.handleNotRun(t, resp)
 	}
-	if x.route.Kind == routing.Streaming && resp.Status == http.StatusOK {
+	if x.route.Kind == routing.Streaming && isSuccess(resp.Status) {
 		return x.deliverStream(ctx, t, resp)
 	}
 	body, err := x.readAnswer(ctx, resp)
--- a/daemon/entry/stream.go
+++ b/daemon/entry/stream.go
@@ -159,10 +159,10 @@
 			continue
 		}
 		x.sendCount++
-		if resp.Status == http.StatusOK {
+		if isSuccess(resp.Status) && !resp.Answer.NotRun {
 			return t, resp, release, nil
 		}
-		x.recordOutcome(t.ID, balance.Refused)
+		x.recordOutcome(t.ID, failedResumeOutcome(resp))
 		_ = resp.Body.Close()
 		release()
 		if resp.Answer.NotRun {
@@ -175,6 +175,14 @@
 	return balance.TargetInfo{}, nil, nil, failure.Unknown(failure.TargetFailed, "no target resumed the stream after %d sends", x.sendCount)
 }
 
+// failedResumeOutcome returns the outcome of a send whose target did not resume the stream.
+func failedResumeOutcome(resp *targetpool.Response) balance.Outcome {
+	if !resp.Answer.NotRun && resp.Status >= http.StatusInternalServerError {
+		return balance.Failed
+	}
+	return refusalOutcome(resp.Answer)
+}
+
 // finishStream makes a turn durable before its caller receives the end of the stream.
 func (x *exchange) finishStream(ctx context.Context, resp *targetpool.Response) error {
 	x.writeHead(resp)
