daemon/entry: a success without the request's ID, or with an encoded body, is not passed on

What callers saw: nothing yet; found on the paths next to the last fault. A signed success without the ID of its request was passed on, though it may answer an earlier request on the connection; so was one with a Content-Encoding, which no caller asks for.

Cause: an answer was taken for another one's only if it names another ID; one that names none passed.

Change: both are bad answers, like one without a signature. A refusal needs no ID: targets send it without.

Measured: TestSuccessOfUnclearOriginIsNotPassedOn, four cases red before.

--- a/core/request/request.go
+++ b/core/request/request.go
@@ -56,6 +56,8 @@
 	Instance string
 	// Signed reports that the answer has the target's signature.
 	Signed bool
+	// Encoded reports that the body has a content coding.
+	Encoded bool
 	// NotRun reports that, by the target's statement, the request did not run there.
 	NotRun bool
 	// Misdirected reports that the address belongs to another target.
--- a/daemon/entry/bad_answer_test.go
+++ b/daemon/entry/bad_answer_test.go
@@ -67,6 +67,31 @@
 	}
 }
 
+// A signed success that does not name the request, or whose body is encoded, is not the target's answer to it.
+func TestSuccessOfUnclearOriginIsNotPassedOn(t *testing.T) {
+	for name, spoil := range map[string]func(string) string{
+		"no request ID": func(a string) string { return strings.Replace(a, ownheaders.ID+": 1\r\n", "", 1) },
+		"body with encoding": func(a string) string {
+			return strings.Replace(a, signatureLine, signatureLine+"Content-Encoding: gzip\r\n", 1)
+		},
+	} {
+		for path, answer := range map[string]func(id string) string{
+			"/plain/": func(id string) string { return okAnswer(id, "a") },
+			"/quick/": func(id string) string { return okStream(id, 1, "a", "b") },
+		} {
+			t.Run(path+" "+name, func(t *testing.T) {
+				answer, requestCount := spoilFirst(spoil, answer)
+				s := newSystem(t, newFakeTarget(t, "t1", answer), newFakeTarget(t, "t2", answer))
+				got := s.postTurn(path, "1", "", "x")
+				require.Equal(t, http.StatusOK, got.status)
+				require.Equal(t, "1", got.header.Get(ownheaders.ID))
+				require.Empty(t, got.header.Get("Content-Encoding"))
+				require.EqualValues(t, 2, requestCount.Load())
+			})
+		}
+	}
+}
+
 // A call that is sent a second time must not get the unsigned success that arrives first.
 func TestUnsignedSuccessDoesNotWinHedgedCall(t *testing.T) {
 	release := make(chan struct{})
--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -327,14 +327,25 @@
 // isSuccess reports whether the status of an answer means that the target served the request.
 func isSuccess(status int) bool { return status < http.StatusMultipleChoices }
 
-// checkSuccess returns the failure of an answer that claims a success without the signature of its target:
-// its bytes are not the target's answer. It closes such an answer. Other answers pass.
+// checkSuccess returns the failure of an answer that claims a success and is not the target's own answer to
+// this request. It closes such an answer. Other answers pass.
 func checkSuccess(t balance.TargetInfo, resp *targetpool.Response) error {
-	if !isSuccess(resp.Status) || resp.Answer.NotRun || resp.Answer.Signed {
+	if !isSuccess(resp.Status) || resp.Answer.NotRun {
+		return nil
+	}
+	fault := ""
+	switch {
+	case !resp.Answer.Signed:
+		fault = "no signature"
+	case resp.Answer.ID == "":
+		fault = "no request ID" // it may answer an earlier request
+	case resp.Answer.Encoded:
+		fault = "an encoded body, which no caller asks for"
+	default:
 		return nil
 	}
 	_ = resp.Body.Close() // nothing of it is read
-	return failure.Unknown(failure.BadAnswer, "answer of target %s with status %d has no signature", t.ID, resp.Status)
+	return failure.Unknown(failure.BadAnswer, "answer of target %s with status %d has %s", t.ID, resp.Status, fault)
 }
 
 // refusalOutcome returns the outcome of a send that the target did not run. A misdirected one counts
