daemon/entry: events are passed on only in the order of their IDs

In the body of a signed stream each piece up to a blank line was passed on as an event, whatever it was: without an ID, sent twice, a stream begun anew in place of being continued (its events came twice), blank lines or comments without end, each counted as tokens of the program's budget.

Cause: deliverEvents looked for the end of an event only. The protocol has a series of events with increasing IDs.

Change: an event whose ID does not follow that of the last one ends the stream as a bad answer: it goes on at another target where it may, else the caller sees that it is incomplete. Bytes that are no events and have no end are stopped at the first of them.

--- a/daemon/entry/bad_answer_test.go
+++ b/daemon/entry/bad_answer_test.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -184,3 +186,46 @@
 		})
 	}
 }
+
+// Events that cannot follow those that the caller has must not be passed on: the stream ends as incomplete, or
+// goes on at another target.
+func TestEventsOutOfOrderAreNotPassedOn(t *testing.T) {
+	const begun = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	chunk := func(text string) string { return strconv.FormatInt(int64(len(text)), 16) + "\r\n" + text + "\r\n" }
+	for name, spoiled := range map[string]string{
+		"event without an ID":      chunk("data: c\n\n"),
+		"ID that is no number":     chunk("id: x\ndata: c\n\n"),
+		"event sent twice":         eventChunks(2, "b"),
+		"stream begun anew":        eventChunks(1, "a", "b", "c"),
+		"line feeds without end":   chunk(strings.Repeat("\n", 4096)),
+		"comment lines, no events": chunk(strings.Repeat(": x\n\n", 1024)),
+	} {
+		answer := func(_ int, r received, id string) (string, bool) {
+			if r.LastEvent == "" {
+				return streamHead(id) + eventChunks(1, "a", "b") + spoiled + "0\r\n\r\n", false
+			}
+			return okStream(id, int(parseNumber(r.LastEvent))+1, "c"), false
+		}
+		t.Run(name+", resumable", func(t *testing.T) {
+			s := newSystem(t, newFakeTarget(t, "t1", answer), newFakeTarget(t, "t2", answer))
+			got := s.postStream("p", 1)
+			require.NoError(t, got.err)
+			require.Equal(t, begun+"id: 3\ndata: c\n\n", got.body)
+		})
+		t.Run(name+", not resumable", func(t *testing.T) {
+			s := newSystem(t, newFakeTarget(t, "t1", answer))
+			got := s.postTurn("/turn/", "1", "", "x")
+			require.ErrorIs(t, got.err, io.ErrUnexpectedEOF)
+			require.Equal(t, begun, got.body)
+		})
+	}
+}
+
+// A target that begins a stream anew in place of continuing it must not repeat events.
+func TestStreamBegunAnewIsNotJoined(t *testing.T) {
+	answer := func(_ int, r received, id string) (string, bool) { return okStream(id, 1, "a", "b", "c"), false }
+	s := newSystem(t, newFakeTarget(t, "t1", answer), newFakeTarget(t, "t2", answer))
+	got := s.postStream("p", 2, ownheaders.LastEvent, "2", ownheaders.Resumes, "p-1")
+	require.Equal(t, http.StatusBadGateway, got.status)
+	require.NotContains(t, got.body, "data:")
+}
--- a/daemon/entry/events.go
+++ b/daemon/entry/events.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"strconv"
 )
 
 const (
@@ -23,6 +24,17 @@
 	data []byte
 }
 
+// follows reports whether the event may come after the event with the ID last in one stream: IDs are
+// numbers that increase. An empty last stands for the start of a stream.
+func (e event) follows(last string) bool {
+	id, err := strconv.ParseInt(e.id, 10, 64)
+	if err != nil {
+		return false
+	}
+	lastID, err := strconv.ParseInt(last, 10, 64)
+	return err != nil || id > lastID
+}
+
 // eventReader splits a stream of server-sent events into events.
 type eventReader struct {
 	source io.Reader
--- a/daemon/entry/stream.go
+++ b/daemon/entry/stream.go
@@ -92,6 +92,9 @@
 			return err
 		}
 		x.host.reachability.recordHeard(x.targetID)
+		if !e.follows(*lastEventID) {
+			return failure.Unknown(failure.BadAnswer, "event with ID %q after %q", e.id, *lastEventID)
+		}
 		now := time.Now()
 		if lastEventAt.IsZero() {
 			x.recordFirstEvent(now.Sub(x.sentAt))
