daemon/entry: a turn delivers no more tokens than are reserved for it

A target whose stream goes on beyond the tokens that were asked for was passed on to its end. The program's budget covers only what the turn reserved, so it was overdrawn by the rest (BUDGET), and whole events without end went on until the deadline.

Cause: the reservation bounded what a turn may ask for, not what its target may send.

Change: an event after the last reserved token ends the stream as a bad answer.

--- a/daemon/entry/bad_answer_test.go
+++ b/daemon/entry/bad_answer_test.go
@@ -229,3 +229,16 @@
 	require.Equal(t, http.StatusBadGateway, got.status)
 	require.NotContains(t, got.body, "data:")
 }
+
+// A target that generates more than it was asked for must not overdraw the budget of the program.
+func TestEventsBeyondReservedTokensAreNotPassedOn(t *testing.T) {
+	for _, path := range []string{"/turn/", "/quick/"} {
+		x := newFakeTarget(t, "t1", func(_ int, _ received, id string) (string, bool) {
+			return okStream(id, 1, "a", "b", "c", "d", "e", "f"), false // 3 tokens each, 12 are reserved
+		})
+		s := newSystem(t, x)
+		got := s.postTurn(path, "1", "", "x")
+		require.ErrorIs(t, got.err, io.ErrUnexpectedEOF)
+		require.Equal(t, 4, strings.Count(got.body, "data:"))
+	}
+}
--- a/daemon/entry/stream.go
+++ b/daemon/entry/stream.go
@@ -95,6 +95,9 @@
 		if !e.follows(*lastEventID) {
 			return failure.Unknown(failure.BadAnswer, "event with ID %q after %q", e.id, *lastEventID)
 		}
+		if x.turn != nil && x.turn.isComplete() {
+			return failure.Unknown(failure.BadAnswer, "event with ID %q after all %d tokens that were asked for", e.id, x.call.MaxTokens)
+		}
 		now := time.Now()
 		if lastEventAt.IsZero() {
 			x.recordFirstEvent(now.Sub(x.sentAt))
--- a/daemon/entry/turn.go
+++ b/daemon/entry/turn.go
@@ -80,6 +80,12 @@
 	return true
 }
 
+// isComplete reports whether the turn has delivered all tokens that are reserved for it.
+func (t *turn) isComplete() bool {
+	limit := t.x.call.MaxTokens
+	return limit > 0 && t.deliveredTokens() >= limit
+}
+
 // deliveredTokens returns the number of tokens sent to the caller so far.
 func (t *turn) deliveredTokens() int64 { return t.eventCount * t.x.engine.TokensPerEvent }
 
