daemon/entry: a taken-up stream whose software version is not known is not joined to another one

What callers saw (the users' report "rejoined", from a system like ours): all entry hosts are killed between two releases; streams that their callers take up are answered 200 with events of two software versions.

Cause: "not known" was taken for "any will do" as soon as one version was listed. What is listed now says nothing about the targets that made the events. And not each attempt that brings events stored its version.

Change: each attempt stores the version before its first event, outside of programs under the name of the request (the one that its broken runs have), while a target works on that event. A write that misses the 0.3 s goes on until the deadline. A reservation made while several versions are listed says that the version is pending, so that it is told apart from turns without one. Not known, a stream goes on only if no attempt of ours can have begun it, or if the service's targets have had one version for longer than any stream lasts, by what the host has seen without losing sight of the platform; else 503 with a Retry-After.

Cost: one write for a taken-up stream, and for each stream outside of programs, off the path to the first event.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -12,6 +12,7 @@
 package balance
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -249,6 +250,9 @@
 	return versions
 }
 
+// Services returns the names of the services that have or had targets, in no order.
+func (r *Registry) Services() []string { return slices.Collect(maps.Keys(r.services)) }
+
 // Size returns the number of targets.
 func (r *Registry) Size() int { return len(r.targets) }
 
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -78,12 +78,43 @@
 		u.Merge([]*historypb.Spending{{Turn: "a", Tokens: 3, Settled: true}}) // of a replica that does not know it
 		require.Equal(t, "v1", u.SoftwareVersion("a"))
 		require.Equal(t, "v2", u.SoftwareVersion("b"))
-		require.Empty(t, u.OnlySoftwareVersion())
+		only, certain := u.OnlySoftwareVersion()
+		require.Empty(t, only)
+		require.False(t, certain)
 		require.EqualValues(t, 15, u.TokensExcluding("x"))
 		require.Equal(t, l.Digest("p"), replica.Digest("p"))
 	}
 }
 
+// Whether all streams of a program have one software version is certain only if that of each stream that may have
+// events is known.
+func TestOnlySoftwareVersionIsCertain(t *testing.T) {
+	spent := func(turn, version string, tokens int64, settled bool) *historypb.Spending {
+		return &historypb.Spending{Turn: turn, Tokens: tokens, Settled: settled, SoftwareVersion: version}
+	}
+	known := spent("known", "v1", 12, true)
+	for name, c := range map[string]struct {
+		spendings []*historypb.Spending
+		only      string
+		certain   bool
+	}{
+		"no stream":                        {nil, "", true},
+		"one version":                      {[]*historypb.Spending{known, spent("a", "v1", 12, false)}, "v1", true},
+		"turn without a version":           {[]*historypb.Spending{known, spent("a", "", 12, true)}, "v1", true},
+		"two versions":                     {[]*historypb.Spending{known, spent("a", "v2", 12, false)}, "", false},
+		"pending stream that may run":      {[]*historypb.Spending{known, spent("a", PendingVersion, 12, false)}, "", false},
+		"pending stream that had events":   {[]*historypb.Spending{known, spent("a", PendingVersion, 3, true)}, "", false},
+		"pending stream that had no event": {[]*historypb.Spending{known, spent("a", PendingVersion, 0, true)}, "v1", true},
+	} {
+		u := &Usage{}
+		u.Merge(c.spendings)
+		only, certain := u.OnlySoftwareVersion()
+		require.Equal(t, c.only, only, name)
+		require.Equal(t, c.certain, certain, name)
+		require.Empty(t, u.SoftwareVersion("missing"))
+	}
+}
+
 // A replica that lacks the software version of a turn must be seen to differ.
 func TestDigestDependsOnSoftwareVersion(t *testing.T) {
 	l, other := New(), New()
--- a/core/ledger/usage.go
+++ b/core/ledger/usage.go
@@ -24,24 +24,40 @@
 	}
 }
 
+// PendingVersion is the software version of a stream before its first event, if targets of several versions
+// may make that event. Every version supersedes it in a merge.
+const PendingVersion = "\x00"
+
+// Contains reports whether a turn has reserved tokens.
+func (u *Usage) Contains(turn string) bool {
+	_, ok := u.spendingByTurn[turn]
+	return ok
+}
+
 // SoftwareVersion returns the software version of the targets that made the events of a turn; empty if
 // it is not known.
-func (u *Usage) SoftwareVersion(turn string) string { return u.spendingByTurn[turn].softwareVersion }
+func (u *Usage) SoftwareVersion(turn string) string {
+	if version := u.spendingByTurn[turn].softwareVersion; version != PendingVersion {
+		return version
+	}
+	return ""
+}
 
-// OnlySoftwareVersion returns the software version of all turns of which it is known; empty if they
-// differ or none is known.
-func (u *Usage) OnlySoftwareVersion() string {
-	only := ""
+// OnlySoftwareVersion returns the software version that all streams of the program have; empty if there is
+// no stream. certain is false if they differ, or if that of a stream that may have events is not known.
+func (u *Usage) OnlySoftwareVersion() (only string, certain bool) {
 	for _, s := range u.spendingByTurn {
 		switch {
-		case s.softwareVersion == "":
+		case s.softwareVersion == "", s.softwareVersion == PendingVersion && s.settled && s.tokens == 0:
+		case s.softwareVersion == PendingVersion:
+			return "", false
 		case only == "":
 			only = s.softwareVersion
 		case only != s.softwareVersion:
-			return ""
+			return "", false
 		}
 	}
-	return only
+	return only, true
 }
 
 // TokensExcluding returns the tokens used and reserved by all turns other than turn.
--- a/daemon/entry/crash_limit.go
+++ b/daemon/entry/crash_limit.go
@@ -30,9 +30,9 @@
 // must not run twice is not repeated, by this host or its caller.
 func (x *exchange) limitsCrashes() bool { return x.route.Kind != routing.AtMostOnce }
 
-// brokenRunProgram returns the program name under which the broken runs of the request are stored: its
-// program, or a name of its own outside of programs.
-func (x *exchange) brokenRunProgram() string {
+// recordProgram returns the program name under which history hosts store the broken runs of the request and
+// the software version of its stream: its program, or a name of its own outside of programs.
+func (x *exchange) recordProgram() string {
 	if x.call.Program != "" {
 		return x.budgetProgram()
 	}
@@ -58,7 +58,7 @@
 // readBrokenRunsInTime is readBrokenRuns within brokenRunReadTimeout. It fails at once if the history
 // hosts are known to be unreachable.
 func (x *exchange) readBrokenRunsInTime(ctx context.Context) error {
-	if !x.host.History.IsServable(x.brokenRunProgram()) {
+	if !x.host.History.IsServable(x.recordProgram()) {
 		return failure.New(failure.HistoryUnavailable, "history hosts of the request are unreachable")
 	}
 	ctx, cancel := context.WithTimeout(ctx, brokenRunReadTimeout)
@@ -68,7 +68,7 @@
 
 // readBrokenRuns adds the broken runs of all attempts of the request that are stored.
 func (x *exchange) readBrokenRuns(ctx context.Context) error {
-	history, err := x.host.History.ReadQuery(ctx, quorum.Query{Program: x.brokenRunProgram(), Request: x.fingerprint})
+	history, err := x.host.History.ReadQuery(ctx, quorum.Query{Program: x.recordProgram(), Request: x.fingerprint})
 	if err != nil {
 		return err
 	}
@@ -141,7 +141,7 @@
 
 // writeBrokenRuns writes records of broken runs, unless the history hosts are known to be unreachable.
 func (x *exchange) writeBrokenRuns(ctx context.Context, records []*historypb.Record) error {
-	return x.host.History.WriteUnlessUnreachable(ctx, 0, x.brokenRunProgram(), x.retention(), records...)
+	return x.host.History.WriteUnlessUnreachable(ctx, 0, x.recordProgram(), x.retention(), records...)
 }
 
 // storeBrokenRunsLater tries on to store broken runs in the background, for recentCrashWindow.
@@ -152,7 +152,7 @@
 	x.host.background.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), recentCrashWindow)
 		defer cancel()
-		if err := x.host.History.Write(ctx, x.brokenRunProgram(), x.retention(), brokenRunRecords(runs)...); err != nil {
+		if err := x.host.History.Write(ctx, x.recordProgram(), x.retention(), brokenRunRecords(runs)...); err != nil {
 			x.host.Log.Warn("broken runs not stored", "request", x.call.ID, "fingerprint", x.fingerprint, "error", err.Error())
 		}
 	})
--- a/daemon/entry/handle.go
+++ b/daemon/entry/handle.go
@@ -62,6 +62,10 @@
 	// softwareVersion is the software version of the targets to which the stream may be sent;
 	// empty for any. It does not change once it is set.
 	softwareVersion string
+	// versionPending is set if the first event of the stream determines its software version.
+	versionPending bool
+	// versionStored is closed once the software version is durable; nil if no event waits for that.
+	versionStored <-chan struct{}
 	// sentAt is when the request was sent to the target, and firstSentAt the same for the
 	// first send of a hedged call. targetLoad is the target's load at that time, as a
 	// fraction of its capacity, and uncachedTokens the part of the prompt, in tokens, that
@@ -134,15 +138,15 @@
 	if x.isTurn() {
 		return x.serveTurn(ctx)
 	}
-	if err := x.bindTakenUpStream(&ledger.Usage{}); err != nil {
-		return err
-	}
 	if err := x.awaitBrokenRuns(ctx); err != nil {
 		return err
 	}
 	if err := x.awaitQuotaToken(ctx); err != nil {
 		return err
 	}
+	if err := x.bindStreamOutsideProgram(ctx); err != nil {
+		return err
+	}
 	return x.forward(ctx)
 }
 
--- a/daemon/entry/host.go
+++ b/daemon/entry/host.go
@@ -95,9 +95,10 @@
 	// memory accounts for what requests hold.
 	memory *memoryAccount
 
-	// mu guards registry, dispatch and hedger.
+	// mu guards registry, versions, dispatch and hedger.
 	mu       sync.Mutex
 	registry *balance.Registry
+	versions balance.VersionLog
 	dispatch *dispatch.Dispatcher
 	hedger   *hedge.Hedger
 
--- a/daemon/entry/stream.go
+++ b/daemon/entry/stream.go
@@ -105,7 +105,7 @@
 			x.recordEvent(now.Sub(lastEventAt))
 		}
 		lastEventAt = now
-		x.bindToTarget(ctx, t)
+		x.awaitVersion(ctx, t)
 		x.writeHead(resp)
 		if x.turn != nil && !x.turn.addEvent(ctx, e) {
 			return errNoMemory
--- a/daemon/entry/turn.go
+++ b/daemon/entry/turn.go
@@ -106,6 +106,9 @@
 		return err
 	}
 	x.turn = t
+	if x.continuesStream() {
+		x.startVersionWrite() // the reservation was made before the version was known
+	}
 	if err = x.forward(ctx); err != nil {
 		t.settle()
 	}
@@ -149,7 +152,7 @@
 // reservationRecord returns the record that reserves the tokens of the turn.
 func (t *turn) reservationRecord() *historypb.Record {
 	return &historypb.Record{Change: &historypb.Record_Reserve{
-		Reserve: &historypb.Reserve{Turn: t.x.call.ID, Tokens: t.x.call.MaxTokens, SoftwareVersion: t.x.softwareVersion},
+		Reserve: &historypb.Reserve{Turn: t.x.call.ID, Tokens: t.x.call.MaxTokens, SoftwareVersion: t.x.reservedVersion()},
 	}}
 }
 
--- a/daemon/entry/view.go
+++ b/daemon/entry/view.go
@@ -146,6 +146,9 @@
 	v.host.mu.Lock()
 	defer v.host.mu.Unlock()
 	v.host.registry.RetainOnly(ids)
+	for _, service := range v.host.registry.Services() {
+		v.host.observeVersions(service)
+	}
 }
 
 // Changed implements objects.Listener.
@@ -161,7 +164,11 @@
 }
 
 // Lost implements objects.Listener. The current list stays in use.
-func (v *TargetView) Lost(error) {}
+func (v *TargetView) Lost(error) {
+	v.host.mu.Lock()
+	defer v.host.mu.Unlock()
+	v.host.versions.Restart(v.host.now())
+}
 
 // set adds or changes a target. An entry that cannot be decoded takes its target out of use.
 func (v *TargetView) set(o objects.Object) {
@@ -178,6 +185,9 @@
 	}
 	changed := !known || old.Draining != info.Draining || old.StartedAtMs != info.StartedAtMs
 	restarted := v.host.registry.SetTarget(info)
+	if changed {
+		v.host.observeVersions(info.Service)
+	}
 	v.host.registry.SetColdFor(info.ID, info.ColdFor, v.host.now())
 	v.host.mu.Unlock()
 	if changed {
@@ -207,6 +217,9 @@
 	v.host.mu.Lock()
 	old, known := v.host.registry.Target(id)
 	v.host.registry.Remove(id)
+	if known {
+		v.host.observeVersions(old.Service)
+	}
 	v.host.mu.Unlock()
 	v.host.reachability.forget(id)
 	if known {
