ctl/roles: streams taken up after all entry hosts were killed in the middle of a release

Real hosts in virtual time: four releases a run, in the middle of which all entry hosts are killed and come back, half of the times after they were cut off from the history hosts; the targets of the old version leave at that time or stay; every second stream without a program; callers name the attempt that brought the first or the last event. No stream may hold two versions or miss an event; where the old version stays, as large a share of the taken-up streams must go on as TestStreamsKeepTheirSoftwareVersion asks for.

--- a/ctl/roles/crashes_test.go
+++ b/ctl/roles/crashes_test.go
@@ -37,8 +37,8 @@
 	deniedAnswer = "target_crashes"
 )
 
-// crashSeed is the seed of crashCases: 1, or that of ROLES_SEED.
-var crashSeed = func() uint64 {
+// rolesSeed is the seed of crashCases and releaseCases: 1, or that of ROLES_SEED.
+var rolesSeed = func() uint64 {
 	n, err := strconv.ParseUint(os.Getenv("ROLES_SEED"), 10, 64)
 	if err != nil {
 		return 1
--- a/ctl/roles/invariants_test.go
+++ b/ctl/roles/invariants_test.go
@@ -57,6 +57,8 @@
 	crashOutcomes = map[string]*crashOutcome{}
 	// branchOutcomes are the outcomes of runBranches, by cluster and seed.
 	branchOutcomes = map[string]*branchOutcome{}
+	// releaseOutcomes are the outcomes of releaseCases, by case and seed.
+	releaseOutcomes = map[string]*versionsOutcome{}
 	// keyRemovals, quotaOutcomes and evacuationOutcomes are the outcomes of customerFaults.
 	keyRemovals, quotaOutcomes = map[string]*customerOutcome{}, map[string]*customerOutcome{}
 	evacuationOutcomes         = map[string]*evacuationOutcome{}
@@ -98,15 +100,20 @@
 			}
 			for _, cc := range crashCases {
 				if selectedCase == "" || selectedCase == cc.name {
-					crashOutcomes[cc.name] = runCrashCase(t, cc, crashSeed)
+					crashOutcomes[cc.name] = runCrashCase(t, cc, rolesSeed)
 				}
 			}
-			for seed := crashSeed; seed < crashSeed+branchSeeds; seed++ {
+			for seed := rolesSeed; seed < rolesSeed+branchSeeds; seed++ {
 				if selectedCase == "" || selectedCase == branchCase {
 					branchOutcomes[fmt.Sprintf("three replicas, seed %d", seed)] = runBranches(newCluster(t), seed)
 					branchOutcomes[fmt.Sprintf("five replicas, seed %d", seed)] = runBranches(emptyCluster(t).startFiveReplicas(), seed)
 				}
 			}
+			for _, rc := range releaseCases {
+				if selectedCase == "" || selectedCase == rc.name {
+					runReleaseCase(t, rc)
+				}
+			}
 			if selectedCase == "" {
 				membersWithoutSlots = findMembersWithoutSlots(t)
 				largeStart = startManyHistoryHosts(t)
@@ -116,7 +123,7 @@
 			}
 		})
 	})
-	require.NotZero(t, len(outcomes)+len(relayOutcomes)+len(keyRemovals)+len(crashOutcomes)+len(branchOutcomes))
+	require.NotZero(t, len(outcomes)+len(relayOutcomes)+len(keyRemovals)+len(crashOutcomes)+len(branchOutcomes)+len(releaseOutcomes))
 }
 
 func runFaultCase(t *testing.T, fc faultCase) *outcome {
