daemon/entry: forward.go split into the choice of targets, the send and the record of outcomes

Functions are moved, nothing else: send.go has what goes to a target and whether its answer is one, outcome.go what the registry learns of it. daemon/entry passes.

--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -2,48 +2,17 @@
 
 import (
 	"context"
-	"errors"
 	"hash/fnv"
 	"math"
-	"net/http"
 	"time"
 
 	"github.com/pistachioarch/pistachioarch/core/balance"
 	"github.com/pistachioarch/pistachioarch/core/dispatch"
 	"github.com/pistachioarch/pistachioarch/core/failure"
-	"github.com/pistachioarch/pistachioarch/core/request"
 	"github.com/pistachioarch/pistachioarch/core/routing"
 	"github.com/pistachioarch/pistachioarch/wire/targetpool"
 )
 
-// Idle times after which a pooled connection is not reused, even if the target would keep it
-// open for longer.
-const (
-	maxIdleTime = 10 * time.Second
-	// maxFarNonIdempotentIdleTime applies to requests that must not be repeated, to another data
-	// centre that has been silent for farSilenceTimeout. If the network is partitioned, a
-	// new connection fails before anything is sent, while on a reused connection the
-	// request is lost. As long as the data centre is not silent, the shorter limit would only
-	// cost connections.
-	maxFarNonIdempotentIdleTime = 500 * time.Millisecond
-	// farSilenceTimeout is many times the usual interval between answers from another data
-	// centre.
-	farSilenceTimeout = 200 * time.Millisecond
-)
-
-// minTargetTimeout is the least timeout sent to a target. A smaller one would be sent as
-// 0 ms, which means no limit.
-const minTargetTimeout = time.Millisecond
-
-// maxPriority is the largest priority value, for the least urgent requests, that targets accept.
-const maxPriority = 9
-
-// hopByHopHeaders concern only one connection and are not forwarded.
-var hopByHopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
-}
-
 // draw returns a hash of the request's ID as a number in [0, 1). Requests are spread evenly over
 // weighted choices without a random source, and all attempts of a request get the same number.
 func (x *exchange) draw() float64 {
@@ -184,68 +153,6 @@
 	return ok
 }
 
-// recordOutcome reports the end of a send of this request to the registry.
-func (x *exchange) recordOutcome(targetID string, outcome balance.Outcome) {
-	x.host.recordOutcome(balance.TargetInfo{ID: targetID, StartedAtMs: x.targetStartedAtMs}, outcome)
-}
-
-// recordOutcome counts the end of a send and reports it to the registry, unless the target has
-// restarted since.
-func (h *Host) recordOutcome(t balance.TargetInfo, outcome balance.Outcome) {
-	h.Meter.Count("sends", outcome.String())
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if t, ok := h.registry.TargetIncarnation(t.ID, t.StartedAtMs); ok {
-		t.RecordOutcome(outcome, h.now())
-	}
-}
-
-// recordDuration reports to the registry and the hedger how long a request to a plain service took.
-func (x *exchange) recordDuration(d time.Duration) {
-	h := x.host
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if _, ok := h.registry.TargetIncarnation(x.targetID, x.targetStartedAtMs); !ok {
-		return
-	}
-	h.registry.RecordDuration(x.targetID, x.route.Name, d, h.now())
-	h.hedger.RecordAnswer(x.service, x.route.Name, time.Since(x.firstSentAt))
-}
-
-// recordFirstEvent reports to the registry how long the target took for the first event of a stream.
-func (x *exchange) recordFirstEvent(d time.Duration) {
-	h := x.host
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if _, ok := h.registry.TargetIncarnation(x.targetID, x.targetStartedAtMs); ok {
-		h.registry.RecordFirstEvent(x.targetID, x.targetLoad, x.uncachedTokens, d, h.now())
-	}
-}
-
-// recordEvent reports to the registry how long the target took for a further event of a stream.
-func (x *exchange) recordEvent(d time.Duration) {
-	h := x.host
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if _, ok := h.registry.TargetIncarnation(x.targetID, x.targetStartedAtMs); !ok {
-		return
-	}
-	h.registry.RecordEvent(x.targetID, x.targetLoad, d, h.now())
-}
-
-// recordLoadReport records the load report in the head of a target's answer. It is called when the
-// head arrives: at the end of a stream the report would be outdated.
-func (h *Host) recordLoadReport(t balance.TargetInfo, head request.Answer) {
-	if !head.HasLoad {
-		return
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if t, ok := h.registry.TargetIncarnation(t.ID, t.StartedAtMs); ok {
-		t.RecordLoadReport(head.Load, h.now())
-	}
-}
-
 // attempt sends the request to one target and forwards its answer. retry reports whether
 // another target may be tried.
 func (x *exchange) attempt(ctx context.Context, t balance.TargetInfo) (retry bool, err error) {
@@ -291,124 +198,3 @@
 	x.addBrokenRun(x.r.Context(), t, f)
 	return true, f
 }
-
-// send sends the request to one target, and starts probes of it if no connection can be
-// made.
-func (x *exchange) send(ctx context.Context, t balance.TargetInfo, lastEventID string) (*targetpool.Response, error) {
-	x.sentAt = time.Now()
-	x.firstSentAt = x.sentAt
-	return x.host.roundTrip(ctx, t, x.newTargetRequest(t, lastEventID))
-}
-
-// roundTrip sends a request to a target and records what the head of the answer says of the
-// target. A success that is no answer of the target to this request is returned as a failure, so that
-// no path can pass it on, keep it or count it for the target.
-func (h *Host) roundTrip(ctx context.Context, t balance.TargetInfo, req *targetpool.Request) (*targetpool.Response, error) {
-	sentAt := time.Now()
-	resp, err := h.pool.Do(ctx, req, h.decodeAnswer)
-	if err == nil {
-		h.Meter.Observe("target_head", time.Since(sentAt))
-		h.reachability.recordHeard(t.ID)
-		err = checkSuccess(t, resp)
-	}
-	switch {
-	case err == nil:
-		h.recordLoadReport(t, resp.Answer)
-		return resp, nil
-	case failure.Is(err, failure.BadAnswer):
-		h.Meter.Count("targets", "bad_answer")
-		h.Log.Warn("target sent what is no answer", "request", req.ID, "target", t.ID, "error", err.Error())
-	case failure.From(err).Ran == failure.RanNo && ctx.Err() == nil:
-		h.reachability.startProbing(t.ID, t.Address)
-	}
-	return nil, err
-}
-
-// isSuccess reports whether the status of an answer means that the target served the request.
-func isSuccess(status int) bool { return status < http.StatusMultipleChoices }
-
-// checkSuccess returns the failure of an answer that claims a success and is not the target's own answer to
-// this request. It closes such an answer. Other answers pass.
-func checkSuccess(t balance.TargetInfo, resp *targetpool.Response) error {
-	if !isSuccess(resp.Status) || resp.Answer.NotRun {
-		return nil
-	}
-	fault := ""
-	switch {
-	case !resp.Answer.Signed:
-		fault = "no signature"
-	case resp.Answer.ID == "":
-		fault = "no request ID" // it may answer an earlier request
-	case resp.Answer.Encoded:
-		fault = "an encoded body, which no caller asks for"
-	default:
-		return nil
-	}
-	_ = resp.Body.Close() // nothing of it is read
-	return failure.Unknown(failure.BadAnswer, "answer of target %s with status %d has %s", t.ID, resp.Status, fault)
-}
-
-// refusalOutcome returns the outcome of a send that the target did not run. A misdirected one counts
-// as failed: the address belongs to another target.
-func refusalOutcome(head request.Answer) balance.Outcome {
-	if head.Misdirected {
-		return balance.Failed
-	}
-	return balance.Refused
-}
-
-// failureKind returns the kind of a failure: Timeout or CallerGone if ctx has ended, else kind.
-// A timeout counts against the target; a caller that left does not.
-func failureKind(ctx context.Context, kind failure.Kind) failure.Kind {
-	switch {
-	case ctx.Err() == nil:
-		return kind
-	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
-		return failure.Timeout
-	default:
-		return failure.CallerGone
-	}
-}
-
-// failureOutcome returns the outcome for the target of a send that failed under ctx.
-func failureOutcome(ctx context.Context, f *failure.Failure) balance.Outcome {
-	if failureKind(ctx, f.Kind) == failure.CallerGone {
-		return balance.Abandoned
-	}
-	return balance.Failed
-}
-
-func (h *Host) decodeAnswer(status int, header map[string][]string) request.Answer {
-	return h.Headers.Answer(status, header)
-}
-
-// newTargetRequest builds the request to a target.
-func (x *exchange) newTargetRequest(t balance.TargetInfo, lastEventID string) *targetpool.Request {
-	header := x.host.Headers.Outgoing(x.r.Header, request.SendOptions{
-		Instance: t.ID, Timeout: max(minTargetTimeout, time.Until(x.deadline)), LastEventID: lastEventID,
-		Priority: min(maxPriority, x.priority()), HasPriority: x.engine != nil,
-		HideKey: x.host.table.Load().RequiresKey(), Customer: x.customerName(),
-	})
-	removeHopByHopHeaders(header)
-	idleTime := maxIdleTime
-	notIdempotent := x.route.Kind != routing.Idempotent
-	far := t.DataCentre != x.host.DataCentre
-	if notIdempotent && far && !x.host.heardFrom(t.DataCentre, farSilenceTimeout) {
-		idleTime = maxFarNonIdempotentIdleTime
-	}
-	return &targetpool.Request{
-		Address: t.Address, Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host,
-		Header: header, Body: x.body, ID: x.call.ID, MaxIdle: idleTime,
-		Bytes: x.host.targetBytes.counter(x.isTurn(), far),
-	}
-}
-
-// removeHopByHopHeaders removes the headers that concern only one connection.
-func removeHopByHopHeaders(header http.Header) {
-	for _, name := range connectionOptions(header) {
-		header.Del(name)
-	}
-	for _, name := range hopByHopHeaders {
-		header.Del(name)
-	}
-}
