daemon/entry: a stream outside of programs is bound before it takes a token of its customer's quota

A take-up that is refused, as its version is not known, had taken a token. The reads come first now, as for turns.

--- a/daemon/entry/handle.go
+++ b/daemon/entry/handle.go
@@ -141,10 +141,10 @@
 	if err := x.awaitBrokenRuns(ctx); err != nil {
 		return err
 	}
-	if err := x.awaitQuotaToken(ctx); err != nil {
+	if err := x.bindStreamOutsideProgram(ctx); err != nil {
 		return err
 	}
-	if err := x.bindStreamOutsideProgram(ctx); err != nil {
+	if err := x.awaitQuotaToken(ctx); err != nil {
 		return err
 	}
 	return x.forward(ctx)
--- a/daemon/entry/take_up_test.go
+++ b/daemon/entry/take_up_test.go
@@ -51,8 +51,22 @@
 	return false
 }
 
-// loseVersions makes all history hosts reject the records of software versions while lost is set.
-func (s *testSystem) loseVersions(lost *atomic.Bool) {
+// newSystemWithLostVersions returns a system of targets of v1 and v2, each of which stalls its streams, where program
+// p has begun a stream and its host has ended. The history hosts reject the software versions of streams while lost
+// is set, as it is.
+func newSystemWithLostVersions(t *testing.T) (s *testSystem, lost *atomic.Bool, targets []*fakeTarget, versionOf map[string]string) {
+	targets, versionOf = versionedTargets(t, stallThenResume, "v1", "v2")
+	s, lost = newSystem(t), &atomic.Bool{}
+	list(s.host, versionOf, targets...)
+	lost.Store(true)
+	s.rejectVersions(lost)
+	s.t.Cleanup(s.beginStream("p"))
+	s.addHost()
+	return s, lost, targets, versionOf
+}
+
+// rejectVersions makes all history hosts reject the records of software versions while lost is set.
+func (s *testSystem) rejectVersions(lost *atomic.Bool) {
 	for _, m := range s.members {
 		m.setHandler(func(req *historypb.Request, respond func(*historypb.Reply)) {
 			if lost.Load() && namesVersion(req) {
@@ -106,14 +120,7 @@
 	for _, resumes := range []string{"p-1", ""} {
 		for _, kept := range []string{"v1", "v2", "both"} {
 			t.Run("resumes "+resumes+", kept "+kept, func(t *testing.T) {
-				targets, versionOf := versionedTargets(t, stallThenResume, "v1", "v2")
-				s := newSystem(t)
-				list(s.host, versionOf, targets...)
-				lost := &atomic.Bool{}
-				lost.Store(true)
-				s.loseVersions(lost)
-				s.t.Cleanup(s.beginStream("p"))
-				s.addHost()
+				s, _, targets, versionOf := newSystemWithLostVersions(t)
 				for i, x := range targets {
 					if version := "v" + strconv.Itoa(i+1); kept == version || kept == "both" {
 						list(s.host, versionOf, x)
@@ -130,14 +137,7 @@
 
 // A version that is not stored in time is stored later, so that the stream can continue.
 func TestVersionNotStoredInTimeIsStoredLater(t *testing.T) {
-	targets, versionOf := versionedTargets(t, stallThenResume, "v1", "v2")
-	s := newSystem(t)
-	list(s.host, versionOf, targets...)
-	lost := &atomic.Bool{}
-	lost.Store(true)
-	s.loseVersions(lost)
-	s.t.Cleanup(s.beginStream("p"))
-	s.addHost()
+	s, lost, targets, versionOf := newSystemWithLostVersions(t)
 	list(s.host, versionOf, targets...)
 	lost.Store(false)
 	n := 1
