daemon/entry: logs tell whether the target of a run that broke off crashed later

A run that broke off while its target still served is watched for three seconds: by news of the target (it is unreachable, replaced, no longer listed), and once at the end. The line 'target crashed after a run' has the fingerprint and the time in between, the metric is runs_crashed_later. What is known of a target that is gone now includes whether it had announced that, and whether it still serves: one that left by plan no longer counts as crashed for an announced run.

--- a/daemon/entry/broken_run.go
+++ b/daemon/entry/broken_run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pistachioarch/pistachioarch/core/balance"
 	"github.com/pistachioarch/pistachioarch/core/failure"
@@ -50,37 +51,25 @@
 func (x *exchange) endOf(run brokenRun) historypb.RunEnd {
 	end := historypb.RunEnd_RUN_END_BROKEN
 	x.host.Meter.Count("runs", "broken")
-	if !x.host.isServing(run.target) {
+	if x.host.fateOf(startOf(run.target)) == fateCrashed {
 		end = historypb.RunEnd_RUN_END_CRASHED
 		x.host.lastCrashes.record(x.service)
 		x.host.Meter.Count("runs", "crashed")
+	} else {
+		x.watchRun(run)
 	}
 	x.host.Log.Info("run broken off", "request", x.call.ID, "fingerprint", x.fingerprint, "program", x.call.Program, "route", x.route.Name,
 		"target", run.target.ID, "crashed", end == historypb.RunEnd_RUN_END_CRASHED, "sends", x.sendCount, "reason", run.reason)
 	return end
 }
 
-// isGone reports whether an incarnation of a target is known to have ended: the platform has removed
-// it, or it accepts no connection. One that this host does not know is not taken to be gone.
-func (h *Host) isGone(target string, startedAtMs int64) bool {
-	if h.departures.contains(target, startedAtMs) {
-		return true
+// watchRun watches the target of a run that ended without an answer.
+func (x *exchange) watchRun(run brokenRun) {
+	w := &runWatch{
+		runKey: runKey{x.fingerprint, startOf(run.target)}, request: x.call.ID, service: x.service, reason: run.reason,
+		startedAt: time.Now(), news: make(chan struct{}, 1), end: historypb.RunEnd_RUN_END_BROKEN,
 	}
-	h.mu.Lock()
-	t, listed := h.registry.TargetIncarnation(target, startedAtMs)
-	address := ""
-	if listed {
-		address = t.Address
+	if w, isNew := x.host.runWatches.add(w); isNew {
+		go x.host.watch(w)
 	}
-	h.mu.Unlock()
-	return listed && !h.reachability.acceptsConnections(target, address)
-}
-
-// isServing reports whether the incarnation of a target still serves: it is listed and accepts
-// connections.
-func (h *Host) isServing(t balance.TargetInfo) bool {
-	h.mu.Lock()
-	_, listed := h.registry.TargetIncarnation(t.ID, t.StartedAtMs)
-	h.mu.Unlock()
-	return listed && h.reachability.acceptsConnections(t.ID, t.Address)
 }
--- a/daemon/entry/crash_limit.go
+++ b/daemon/entry/crash_limit.go
@@ -79,7 +79,7 @@
 // crashLimitFailure returns the final failure of a request under which too many targets crashed, else
 // nil.
 func (x *exchange) crashLimitFailure() error {
-	if !x.brokenRuns.CrashLimitReached(x.host.isGone) || x.call.Program == "" && x.host.served.contains(x.fingerprint) {
+	if !x.brokenRuns.CrashLimitReached(x.host.hasCrashed) || x.call.Program == "" && x.host.served.contains(x.fingerprint) {
 		return nil
 	}
 	x.host.Meter.Count("requests", "given_up")
--- a/daemon/entry/departures.go
+++ b/daemon/entry/departures.go
@@ -15,32 +15,45 @@
 	startedAtMs int64
 }
 
-// departures holds the incarnations of targets that the platform no longer lists, for departureMemory.
-// The zero value is ready to use.
+// departure is what a host knows of a target that the platform no longer lists, or at whose address another
+// target is listed.
+type departure struct {
+	at      time.Time
+	address string
+	// draining reports that the target had announced that it leaves.
+	draining bool
+	// replaced reports that another process serves under its ID or at its address.
+	replaced bool
+}
+
+// departures holds the incarnations of targets that are gone, for departureMemory. The zero value is ready
+// to use.
 type departures struct {
-	mu sync.Mutex
-	at map[targetStart]time.Time
+	mu    sync.Mutex
+	known map[targetStart]departure
 }
 
-// add records that an incarnation is gone.
-func (d *departures) add(id string, startedAtMs int64) {
+// add records that an incarnation is gone. What was recorded of it before holds on.
+func (d *departures) add(t targetStart, now departure) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.at == nil {
-		d.at = map[targetStart]time.Time{}
+	if d.known == nil {
+		d.known = map[targetStart]departure{}
 	}
-	for t, at := range d.at {
-		if time.Since(at) > departureMemory {
-			delete(d.at, t)
+	for old, x := range d.known {
+		if time.Since(x.at) > departureMemory {
+			delete(d.known, old)
 		}
 	}
-	d.at[targetStart{id, startedAtMs}] = time.Now()
+	before := d.known[t]
+	now.at, now.draining, now.replaced = time.Now(), now.draining || before.draining, now.replaced || before.replaced
+	d.known[t] = now
 }
 
-// contains reports whether an incarnation is known to be gone.
-func (d *departures) contains(id string, startedAtMs int64) bool {
+// find returns what is known of an incarnation that is gone; false if it is not known to be gone.
+func (d *departures) find(t targetStart) (departure, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	_, gone := d.at[targetStart{id, startedAtMs}]
-	return gone
+	x, gone := d.known[t]
+	return x, gone
 }
--- a/daemon/entry/host.go
+++ b/daemon/entry/host.go
@@ -88,6 +88,7 @@
 	reachability    *reachabilityMonitor
 	departures      departures
 	lastCrashes     lastCrashes
+	runWatches      runWatches
 	served          servedRequests
 	startedAt       time.Time
 	loadExchanger   *loadExchanger
--- a/daemon/entry/reachability.go
+++ b/daemon/entry/reachability.go
@@ -186,6 +186,7 @@
 			return
 		}
 		if m.recordProbeFailure(target, err) {
+			m.host.runWatches.notify(target)
 			m.probeDataCentre(target)
 		}
 		if !m.host.setReachable(target, false) {
--- /dev/null
+++ b/daemon/entry/run_watch.go
@@ -0,0 +1,146 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/pistachioarch/pistachioarch/core/historypb"
+)
+
+// A target may end some time after a run that made it end: its process first closes the connection, answers
+// with an error or writes its memory to disk. A run that did not end with an answer is therefore watched until
+// it is known what became of its target.
+
+// lateEndWindow is how long after a run the end of its target is put down to the run.
+const lateEndWindow = 3 * time.Second
+
+// runKey identifies the runs of a request at one incarnation of a target.
+type runKey struct {
+	fingerprint string
+	target      targetStart
+}
+
+// runWatch is a run without an answer whose target served on right after it.
+type runWatch struct {
+	runKey
+	request, service, reason string
+	startedAt                time.Time
+	// news receives a value when something is learned of the target.
+	news chan struct{}
+
+	mu sync.Mutex
+	// end is RUN_END_BROKEN until it is known what became of the target.
+	end historypb.RunEnd
+}
+
+// currentEnd returns the end of the run as far as it is known.
+func (w *runWatch) currentEnd() historypb.RunEnd {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.end
+}
+
+// setEnd sets the end of the run unless it is known already, and reports whether it did.
+func (w *runWatch) setEnd(end historypb.RunEnd) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.end != historypb.RunEnd_RUN_END_BROKEN {
+		return false
+	}
+	w.end = end
+	return true
+}
+
+// runWatches holds the runs that are watched. The zero value is ready to use.
+type runWatches struct {
+	mu    sync.Mutex
+	byKey map[runKey]*runWatch
+}
+
+// add returns the watch of a run, and whether it is w, which it becomes if there is none.
+func (r *runWatches) add(w *runWatch) (*runWatch, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if old := r.byKey[w.runKey]; old != nil {
+		return old, false
+	}
+	if r.byKey == nil {
+		r.byKey = map[runKey]*runWatch{}
+	}
+	r.byKey[w.runKey] = w
+	return w, true
+}
+
+func (r *runWatches) remove(w *runWatch) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.byKey, w.runKey)
+}
+
+// size returns the number of runs that are watched.
+func (r *runWatches) size() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.byKey)
+}
+
+// notify tells the watches of a target's runs that something was learned of the target.
+func (r *runWatches) notify(target string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for key, w := range r.byKey {
+		if key.target.id != target {
+			continue
+		}
+		select {
+		case w.news <- struct{}{}:
+		default: // it has not looked at the last news yet
+		}
+	}
+}
+
+// watch watches a run until it is known what became of its target, for lateEndWindow at most, and remembers
+// the result as long again.
+func (h *Host) watch(w *runWatch) {
+	defer h.runWatches.remove(w)
+	window := time.NewTimer(lateEndWindow)
+	defer window.Stop()
+	for over := false; !over && w.currentEnd() == historypb.RunEnd_RUN_END_BROKEN; {
+		select {
+		case <-w.news:
+		case <-window.C:
+			over = true
+		case <-h.reachability.done:
+			return
+		}
+		h.examine(w, over)
+	}
+	select {
+	case <-time.After(lateEndWindow):
+	case <-h.reachability.done:
+	}
+}
+
+// examine finds out whether the target of a watched run has ended. over reports that the run is watched no
+// longer: a target that still serves has outlived it.
+func (h *Host) examine(w *runWatch, over bool) historypb.RunEnd {
+	fate := h.fateOf(w.target)
+	switch {
+	case fate == fateCrashed:
+		h.endWatch(w, historypb.RunEnd_RUN_END_CRASHED)
+	case fate == fateLeft, over:
+		h.endWatch(w, historypb.RunEnd_RUN_END_OUTLIVED)
+	}
+	return w.currentEnd()
+}
+
+// endWatch records what became of the target of a watched run.
+func (h *Host) endWatch(w *runWatch, end historypb.RunEnd) {
+	if !w.setEnd(end) || end != historypb.RunEnd_RUN_END_CRASHED {
+		return
+	}
+	h.lastCrashes.record(w.service)
+	h.Meter.Count("runs", "crashed_later")
+	h.Log.Info("target crashed after a run", "request", w.request, "fingerprint", w.fingerprint, "target", w.target.id,
+		"after_ms", time.Since(w.startedAt).Milliseconds(), "reason", w.reason)
+}
--- a/daemon/entry/view.go
+++ b/daemon/entry/view.go
@@ -194,7 +194,7 @@
 		v.host.Log.Info("target listed", "target", info.ID, "service", info.Service, "draining", info.Draining, "born", info.StartedAtMs, "cold_ms", info.ColdFor.Milliseconds(), "renewed", restarted)
 	}
 	if restarted {
-		v.host.departures.add(old.ID, old.StartedAtMs)
+		v.recordDeparture(old.TargetInfo, true)
 		v.host.pool.CloseIdle(old.Address)
 		v.host.reachability.handleRestart(info.ID)
 	}
@@ -207,10 +207,16 @@
 	if !found {
 		return
 	}
-	v.host.departures.add(predecessor.ID, predecessor.StartedAtMs)
+	v.recordDeparture(predecessor.TargetInfo, true)
 	v.host.lastCrashes.record(info.Service)
 }
 
+// recordDeparture records that a target is gone, or that another one has replaced it.
+func (v *TargetView) recordDeparture(t balance.TargetInfo, replaced bool) {
+	v.host.departures.add(startOf(t), departure{address: t.Address, draining: t.Draining, replaced: replaced})
+	v.host.runWatches.notify(t.ID)
+}
+
 // remove takes a target out of use because it is no longer listed or its entry cannot be
 // decoded.
 func (v *TargetView) remove(id string) {
@@ -223,7 +229,7 @@
 	v.host.mu.Unlock()
 	v.host.reachability.forget(id)
 	if known {
-		v.host.departures.add(id, old.StartedAtMs)
+		v.recordDeparture(old.TargetInfo, false)
 		if !old.Draining {
 			v.host.lastCrashes.record(old.Service)
 		}
