--- a/ctl/roles/cluster_test.go
+++ b/ctl/roles/cluster_test.go
@@ -92,6 +92,8 @@
 	// crash are started again as new incarnations, all of which are in incarnations.
 	crashMarker  string
 	incarnations []*standin.TurnEngine
+	// loseEvery makes targets break the connection of every n-th run; 0 for none.
+	loseEvery int
 	// maxFaults is the number of disks that may be lost at once; 0 means 1.
 	maxFaults int
 	// customers are the customers in the configuration; if there are none, callers need no keys.
--- a/ctl/roles/crashes_test.go
+++ b/ctl/roles/crashes_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/pistachioarch/pistachioarch/ctl/standin"
 	"github.com/pistachioarch/pistachioarch/wire/ownheaders"
 )
 
@@ -28,6 +29,8 @@
 	// maxCrashAttempts is how often a caller sends a request that is not answered, each time to
 	// another host.
 	maxCrashAttempts = 10
+	// silentAttemptTimeout is the time for which a caller waits for a target that stays silent.
+	silentAttemptTimeout = 800 * time.Millisecond
 	// bystanders is the number of callers whose requests run beside those that crash targets.
 	bystanders = 12
 	// maxDenialTime is how long the final answer to a request that is given up may take.
@@ -52,20 +55,33 @@
 	// crashing is the number of these requests, and interval the time between two of them.
 	crashing int
 	interval time.Duration
+	// ways are the ways in which the targets crash; none for standin.CrashAtOnce.
+	ways []standin.CrashWay
+	// loseEvery makes targets break the connection of every n-th run; 0 for none.
+	loseEvery int
 	// inject adds faults of hosts; nil for none.
 	inject func(c *cluster, r *rand.Rand)
 }
 
+// lateWays are the ways of crashing in which the process ends after the request.
+var lateWays = []standin.CrashWay{standin.CrashAfterBreak, standin.CrashAfterError, standin.CrashAfterUnsigned, standin.CrashAfterSilence}
+
+// crashDelays are the times between the end of a request and the end of the process.
+var crashDelays = []time.Duration{20 * time.Millisecond, 150 * time.Millisecond, 400 * time.Millisecond, 900 * time.Millisecond}
+
+// killEntryHosts kills and restarts one entry host after the other.
+func killEntryHosts(c *cluster, r *rand.Rand) {
+	for range 20 {
+		time.Sleep(time.Duration(100+r.IntN(400)) * time.Millisecond)
+		e := c.killEntryHost(r.IntN(len(c.entryHosts)))
+		c.startEntryHost(&entryHost{name: e.name, ip: e.ip})
+	}
+}
+
 var crashCases = []crashCase{
 	{name: "requests that crash targets", crashing: 15, interval: 400 * time.Millisecond},
 	{name: "many requests that crash targets at once", crashing: 30},
-	{name: "requests that crash targets, entry hosts killed", crashing: 15, interval: 400 * time.Millisecond, inject: func(c *cluster, r *rand.Rand) {
-		for range 20 {
-			time.Sleep(time.Duration(100+r.IntN(400)) * time.Millisecond)
-			e := c.killEntryHost(r.IntN(len(c.entryHosts)))
-			c.startEntryHost(&entryHost{name: e.name, ip: e.ip})
-		}
-	}},
+	{name: "requests that crash targets, entry hosts killed", crashing: 15, interval: 400 * time.Millisecond, inject: killEntryHosts},
 	{name: "requests that crash targets, history hosts killed", crashing: 15, interval: 400 * time.Millisecond, inject: func(c *cluster, r *rand.Rand) {
 		for range 5 {
 			time.Sleep(time.Duration(500+r.IntN(500)) * time.Millisecond)
@@ -83,6 +99,34 @@
 			c.setCutOff(e, false)
 		}
 	}},
+	{name: "targets that end after the request", crashing: 24, interval: 500 * time.Millisecond, ways: lateWays},
+	{name: "targets that end after the request, entry hosts killed", crashing: 24, interval: 500 * time.Millisecond, ways: lateWays, inject: killEntryHosts},
+}
+
+// brokenConnectionsCase has no request that crashes targets.
+var brokenConnectionsCase = crashCase{name: "broken connections, targets that leave by plan", loseEvery: 5, inject: replaceTargets}
+
+// replaceTargets makes targets leave by plan and others come, one after the other. Every second one does not
+// announce that it leaves.
+func replaceTargets(c *cluster, r *rand.Rand) {
+	leaving := map[string][]int{engineService: {0, 1, 2}, plainService: {0, 1, 2}}
+	for n := range 24 {
+		time.Sleep(400 * time.Millisecond)
+		service := []string{engineService, plainService}[n%2]
+		oldest := leaving[service][0]
+		next := 10 + n
+		c.startTarget(service, next)
+		leaving[service] = append(leaving[service][1:], next)
+		c.retireTarget(service, oldest, r.IntN(2) == 0)
+	}
+}
+
+// crashBody returns the body of the n-th request under which targets crash.
+func (cc *crashCase) crashBody(n int, r *rand.Rand) string {
+	if len(cc.ways) == 0 {
+		return crashMarker + strings.Repeat("x", r.IntN(3))
+	}
+	return standin.CrashBody(crashMarker, cc.ways[n%len(cc.ways)], crashDelays[r.IntN(len(crashDelays))]) + strings.Repeat("x", r.IntN(3))
 }
 
 // setCutOff starts or ends a partition between an entry host and all history hosts.
@@ -130,7 +174,7 @@
 
 func runCrashCase(t *testing.T, cc crashCase, seed uint64) *crashOutcome {
 	c := emptyCluster(t)
-	c.crashMarker = crashMarker
+	c.crashMarker, c.loseEvery = crashMarker, cc.loseEvery
 	c.start(4)
 	defer c.close()
 	for i := range 3 {
@@ -153,7 +197,7 @@
 	}
 	for n := range cc.crashing {
 		r := rand.New(rand.NewPCG(seed, uint64(1000+n)))
-		q := &repeatedRequest{program: fmt.Sprintf("c%d", n), path: repeatablePaths[n%len(repeatablePaths)], body: crashMarker + strings.Repeat("x", r.IntN(3))}
+		q := &repeatedRequest{program: fmt.Sprintf("c%d", n), path: repeatablePaths[n%len(repeatablePaths)], body: cc.crashBody(n, r)}
 		crashing.Go(func() { k.sendRepeatedly(q, r.IntN(4), r) })
 		k.mu.Lock()
 		o.requests = append(o.requests, q)
@@ -187,6 +231,9 @@
 		if q.path != "/look/" {
 			headers[ownheaders.Budget], headers[ownheaders.MaxTokens] = strconv.Itoa(budget), strconv.Itoa(maxTokens)
 		}
+		if strings.Contains(q.body, string(standin.CrashAfterSilence)) {
+			headers[ownheaders.Timeout] = strconv.FormatInt(silentAttemptTimeout.Milliseconds(), 10)
+		}
 		if began != "" {
 			headers[ownheaders.Resumes], headers[ownheaders.LastEvent] = began, strconv.Itoa(events)
 		}
@@ -225,6 +272,24 @@
 	}
 }
 
+// Requests whose connections break, and beside which targets leave by plan, must all be answered.
+func TestRequestsAreServedBesideBrokenConnections(t *testing.T) {
+	runAllCases(t)
+	o := crashOutcomes[brokenConnectionsCase.name]
+	if o == nil {
+		t.Skip("another case is selected")
+	}
+	repeated := 0
+	for _, q := range o.requests {
+		if len(q.attempts) > 1 {
+			repeated++
+		}
+		assert.True(t, q.answered, "%s %s not answered in %d attempts", q.program, q.path, len(q.attempts))
+	}
+	t.Logf("requests %d, %d of them repeated by their callers", len(o.requests), repeated)
+	require.NotZero(t, repeated)
+}
+
 // forEachCrashCase runs check on the outcome of every crash case.
 func forEachCrashCase(t *testing.T, check func(t *testing.T, cc crashCase, o *crashOutcome)) {
 	runAllCases(t)
--- a/ctl/roles/invariants_test.go
+++ b/ctl/roles/invariants_test.go
@@ -98,7 +98,7 @@
 					evacuationOutcomes[f.name] = runEvacuation(t, f)
 				}
 			}
-			for _, cc := range crashCases {
+			for _, cc := range append([]crashCase{brokenConnectionsCase}, crashCases...) {
 				if selectedCase == "" || selectedCase == cc.name {
 					crashOutcomes[cc.name] = runCrashCase(t, cc, rolesSeed)
 				}
--- a/ctl/roles/targets_test.go
+++ b/ctl/roles/targets_test.go
@@ -23,7 +23,7 @@
 
 // startIncarnation starts a target for the n-th time. Each incarnation has an ID of its own.
 func (c *cluster) startIncarnation(service string, i, n int) *standin.TurnEngine {
-	e := &standin.TurnEngine{ID: fmt.Sprintf("%s-%d", service, i), Capacity: 8, Events: 5, EventDelay: 20 * time.Millisecond}
+	e := &standin.TurnEngine{ID: fmt.Sprintf("%s-%d", service, i), Capacity: 8, Events: 5, EventDelay: 20 * time.Millisecond, LoseEvery: c.loseEvery}
 	if n > 0 {
 		e.ID += fmt.Sprintf(".%d", n)
 	}
@@ -55,6 +55,28 @@
 	})
 }
 
+// leaveTime is how long a target serves on after the platform knows that it leaves.
+const leaveTime = 2500 * time.Millisecond
+
+// retireTarget makes a target leave by plan. One that announces it is listed as draining until it ends, any
+// other leaves the list at once.
+func (c *cluster) retireTarget(service string, i int, announces bool) {
+	id := fmt.Sprintf("%s-%d", service, i)
+	if announces {
+		c.putTarget(id, service, fmt.Sprintf("10.3.%d.%d", len(service), i), i%len(c.historyHosts), true)
+	} else {
+		c.store.Remove(targetKind, id)
+	}
+	c.mu.Lock()
+	server := c.targetServers[id]
+	c.mu.Unlock()
+	c.stops.Go(func() {
+		time.Sleep(leaveTime)
+		_ = server.Close()
+		c.store.Remove(targetKind, id)
+	})
+}
+
 func (c *cluster) serve(ip string, h http.Handler) *http.Server {
 	s := &http.Server{Handler: h, ErrorLog: log.New(io.Discard).StandardLog()}
 	l := c.net.Listen(ip + ":80")
--- a/ctl/standin/crash.go
+++ b/ctl/standin/crash.go
@@ -4,11 +4,58 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/pistachioarch/pistachioarch/wire/ownheaders"
 )
 
 // maxEventsBeforeCrash bounds the events of a stream that a crashing engine sends before it crashes.
 const maxEventsBeforeCrash = 3
 
+// CrashWay is how an engine treats a request under which it crashes.
+type CrashWay string
+
+// The ways of crashing. The process ends after the request has ended, but for CrashAtOnce.
+const (
+	// CrashAtOnce ends the process while it runs the request, before a plain answer or within a stream.
+	CrashAtOnce CrashWay = ""
+	// CrashAfterBreak breaks the connection of the request off at that point.
+	CrashAfterBreak CrashWay = "break"
+	// CrashAfterError answers with status 500.
+	CrashAfterError CrashWay = "error"
+	// CrashAfterUnsigned answers with a success that lacks the engine's signature.
+	CrashAfterUnsigned CrashWay = "unsigned"
+	// CrashAfterSilence gives no answer until the request is cancelled.
+	CrashAfterSilence CrashWay = "silence"
+)
+
+// crashSeparator is around the way and the delay in the body of a request.
+const crashSeparator = "|"
+
+// CrashBody returns the body of a request under which engines with the marker crash in a way, delay after
+// the end of the request.
+func CrashBody(marker string, way CrashWay, delay time.Duration) string {
+	return strings.Join([]string{marker, string(way), delay.String(), ""}, crashSeparator)
+}
+
+// crashPlan is the way and the delay that the body of a request names.
+type crashPlan struct {
+	way   CrashWay
+	delay time.Duration
+}
+
+// parseCrashPlan reads the plan of a body of CrashBody. Other bodies name none: CrashAtOnce.
+func parseCrashPlan(body string) crashPlan {
+	fields := strings.Split(body, crashSeparator)
+	if len(fields) < 3 {
+		return crashPlan{}
+	}
+	delay, err := time.ParseDuration(fields[2])
+	if err != nil {
+		return crashPlan{}
+	}
+	return crashPlan{CrashWay(fields[1]), delay}
+}
+
 // crashTrigger says under which requests an engine crashes.
 type crashTrigger struct {
 	// marker is in the body of these requests; empty for none.
@@ -16,15 +63,18 @@
 	// onCrash ends the engine's process.
 	onCrash func()
 	crashed bool
+	// triggers are the indices in runs of the requests that have ended and under which the engine is about
+	// to crash.
+	triggers []int
 }
 
 func (c *crashTrigger) matches(body string) bool {
 	return c.marker != "" && strings.Contains(body, c.marker)
 }
 
-// CrashUnder makes the engine crash when it runs a request whose body contains marker: before a plain
-// answer, or within a stream. It then calls onCrash once, which closes the engine's connections and
-// listener. It is called before the engine serves.
+// CrashUnder makes the engine crash under a request whose body contains marker, in the way that the body
+// names; see CrashBody. It then calls onCrash once, which closes the engine's connections and listener. It is
+// called before the engine serves.
 func (e *TurnEngine) CrashUnder(marker string, onCrash func()) {
 	e.crash.marker, e.crash.onCrash = marker, onCrash
 }
@@ -40,22 +90,59 @@
 	for index := range e.active {
 		e.runs[index].CrashedAt = time.Now()
 	}
+	for _, index := range e.crash.triggers {
+		e.runs[index].CrashedAt = time.Now()
+	}
 	e.mu.Unlock()
 	e.crash.onCrash()
 }
 
-// crashingWriter is the answer to a request under which the engine crashes.
+// crashLater crashes the engine after a delay under a run that has ended.
+func (e *TurnEngine) crashLater(index int, delay time.Duration) {
+	e.mu.Lock()
+	e.crash.triggers = append(e.crash.triggers, index)
+	e.mu.Unlock()
+	time.AfterFunc(delay, e.Crash)
+}
+
+// serveCrashing serves a request under which the engine crashes. index is that of its run.
+func (e *TurnEngine) serveCrashing(w http.ResponseWriter, r *http.Request, index int, body string) {
+	plan := parseCrashPlan(body)
+	id := r.Header.Get(ownheaders.ID)
+	switch plan.way {
+	case CrashAfterError:
+		defer e.crashLater(index, plan.delay)
+		w.WriteHeader(http.StatusInternalServerError)
+	case CrashAfterUnsigned:
+		defer e.crashLater(index, plan.delay)
+		w.Header().Del(ownheaders.Signature)
+		e.answerPlain(w, r, id)
+	case CrashAfterSilence:
+		defer e.crashLater(index, plan.delay)
+		<-r.Context().Done()
+	default:
+		e.answer(&crashingWriter{ResponseWriter: w, engine: e, index: index, plan: plan, remaining: len(body) % maxEventsBeforeCrash}, r, id)
+	}
+}
+
+// crashingWriter is the answer to a request under which the engine crashes or breaks the connection off.
 type crashingWriter struct {
 	http.ResponseWriter
 	engine *TurnEngine
+	index  int
+	plan   crashPlan
 	// remaining is the number of events that are still sent.
 	remaining int
 }
 
-// Write crashes the engine once the remaining events are sent.
+// Write ends the run once the remaining events are sent.
 func (w *crashingWriter) Write(b []byte) (int, error) {
 	if w.remaining == 0 || w.Header().Get("Content-Type") != "text/event-stream" {
-		w.engine.Crash()
+		if w.plan.way == CrashAfterBreak {
+			w.engine.crashLater(w.index, w.plan.delay)
+		} else {
+			w.engine.Crash()
+		}
 		panic(http.ErrAbortHandler)
 	}
 	w.remaining--
--- a/ctl/standin/turn_engine.go
+++ b/ctl/standin/turn_engine.go
@@ -36,6 +36,8 @@
 	// event, and before a plain answer.
 	Events     int
 	EventDelay time.Duration
+	// LoseEvery makes the connection of every n-th run break without an answer; 0 for none.
+	LoseEvery int
 
 	mu     sync.Mutex
 	active map[int]bool // indices in runs of the requests under way
@@ -48,6 +50,9 @@
 	answersToLose int
 }
 
+// losesShare reports whether LoseEvery applies to the run at index.
+func (e *TurnEngine) losesShare(index int) bool { return e.LoseEvery > 0 && (index+1)%e.LoseEvery == 0 }
+
 // SetEvents sets the software version, which the engine then writes into its events, and the number of
 // events of a stream.
 func (e *TurnEngine) SetEvents(version string, events int) {
@@ -102,14 +107,20 @@
 		return
 	}
 	defer e.finishRun(index)
-	if loseAnswer {
+	if loseAnswer || e.losesShare(index) {
 		time.Sleep(e.EventDelay)
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set(ownheaders.Signature, "s-"+id)
 	if e.crash.matches(string(body)) {
-		w = &crashingWriter{ResponseWriter: w, engine: e, remaining: len(body) % maxEventsBeforeCrash}
+		e.serveCrashing(w, r, index, string(body))
+		return
 	}
+	e.answer(w, r, id)
+}
+
+// answer sends a stream of events to a request with a token limit, and a plain answer to any other.
+func (e *TurnEngine) answer(w http.ResponseWriter, r *http.Request, id string) {
 	if r.Header.Get(ownheaders.MaxTokens) == "" {
 		e.answerPlain(w, r, id)
 		return
