--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -188,13 +188,15 @@
 	s.targets = slices.DeleteFunc(s.targets, func(x *Target) bool { return x == t })
 }
 
-// RetainOnly removes all targets whose IDs are not in ids.
-func (r *Registry) RetainOnly(ids map[string]bool) {
+// IDsExcept returns the IDs of all targets that are not in ids, in no order.
+func (r *Registry) IDsExcept(ids map[string]bool) []string {
+	var list []string
 	for id := range r.targets {
 		if !ids[id] {
-			r.Remove(id)
+			list = append(list, id)
 		}
 	}
+	return list
 }
 
 // Target returns the target with this ID.
@@ -213,14 +215,16 @@
 	return t, true
 }
 
-// AddressHolder returns the target of a service that is listed at an address.
-func (r *Registry) AddressHolder(service, address string) (*Target, bool) {
+// AddressHolders returns the targets of a service that are listed at an address. A target that has crashed is
+// listed for some time beside the one that has taken its place.
+func (r *Registry) AddressHolders(service, address string) []*Target {
+	var list []*Target
 	for _, t := range r.serviceNamed(service).targets {
 		if t.Address == address {
-			return t, true
+			list = append(list, t)
 		}
 	}
-	return nil, false
+	return list
 }
 
 // OthersInDataCentre returns the other targets in the data centre of a target, in no particular
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -49,7 +49,9 @@
 	target(t, r, "t1").Unreachable = true
 	require.Contains(t, []string{"t2", "t3"}, pick(t, r, Query{}))
 	require.Equal(t, "t3", pick(t, r, Query{Exclude: map[string]bool{"t2": true}}))
-	r.RetainOnly(map[string]bool{"t0": true})
+	for _, id := range r.IDsExcept(map[string]bool{"t0": true}) {
+		r.Remove(id)
+	}
 	_, ok := r.Pick(Query{Service: "s"}, 0)
 	require.False(t, ok)
 	require.Equal(t, 1, r.Size())
--- a/core/ledger/brokenrun.go
+++ b/core/ledger/brokenrun.go
@@ -12,61 +12,115 @@
 	startedAtMs int64
 }
 
-// BrokenRuns are the runs of one request that targets broke off or may have broken off, over all its
-// attempts and merged from several replicas. The zero value is ready to use.
+// runState is what is known of the runs of a request at one incarnation of a target.
+type runState struct {
+	end     historypb.RunEnd
+	endedMs int64
+}
+
+// certainty orders the ends of runs: of two records of a run the more certain one holds.
+var certainty = map[historypb.RunEnd]int{
+	historypb.RunEnd_RUN_END_UNKNOWN:  0,
+	historypb.RunEnd_RUN_END_NOT_RUN:  1,
+	historypb.RunEnd_RUN_END_BROKEN:   2,
+	historypb.RunEnd_RUN_END_OUTLIVED: 3,
+	historypb.RunEnd_RUN_END_CRASHED:  4,
+}
+
+// merge returns the state after another record of the run.
+func (s runState) merge(other runState) runState {
+	if certainty[other.end] > certainty[s.end] {
+		s.end = other.end
+	}
+	s.endedMs = max(s.endedMs, other.endedMs)
+	return s
+}
+
+// BrokenRuns are the runs of one request that ended without an answer, or may have, over all its attempts and
+// merged from several replicas. The zero value is ready to use.
 type BrokenRuns struct {
-	ends map[incarnation]historypb.RunEnd
+	runs map[incarnation]runState
 }
 
 // Merge adds broken runs. What is known of the end of a run supersedes what is less certain.
 func (b *BrokenRuns) Merge(runs []*historypb.BrokenRun) {
-	if b.ends == nil && len(runs) > 0 {
-		b.ends = make(map[incarnation]historypb.RunEnd, len(runs))
+	if b.runs == nil && len(runs) > 0 {
+		b.runs = make(map[incarnation]runState, len(runs))
 	}
 	for _, r := range runs {
 		key := incarnation{r.Target, r.Born}
-		b.ends[key] = max(b.ends[key], r.End)
+		b.runs[key] = b.runs[key].merge(runState{r.End, r.EndedMs})
 	}
 }
 
 // Known reports whether there is any broken run.
-func (b *BrokenRuns) Known() bool { return len(b.ends) > 0 }
+func (b *BrokenRuns) Known() bool { return len(b.runs) > 0 }
 
 // Confirmed returns the number of targets that were found to have crashed.
 func (b *BrokenRuns) Confirmed() int {
 	count := 0
-	for _, end := range b.ends {
-		if end == historypb.RunEnd_RUN_END_CRASHED {
+	for _, run := range b.runs {
+		if run.end == historypb.RunEnd_RUN_END_CRASHED {
 			count++
 		}
 	}
 	return count
 }
 
-// CrashLimitReached reports whether MaxCrashes targets crashed while they ran the request: those found to
-// have crashed then, and those of runs whose end is unknown that are gone by now. isGone is only called
-// if it decides.
-func (b *BrokenRuns) CrashLimitReached(isGone func(target string, startedAtMs int64) bool) bool {
-	count := b.Confirmed()
-	if len(b.ends) < MaxCrashes {
-		return false
+// Judgement is what is known by now of a run whose record does not tell what became of its target.
+type Judgement int
+
+// The judgements of a run.
+const (
+	// NotCrashed means that the target has not crashed under the run.
+	NotCrashed Judgement = iota
+	// MayCrash means that the target serves, but that the run has ended only now.
+	MayCrash
+	// Crashed means that the target has crashed under the run.
+	Crashed
+)
+
+// Count returns how many targets crashed under the request, and how many more may turn out to have. judge
+// says what is known by now of a run that is RUN_END_UNKNOWN or RUN_END_BROKEN; it is only called if these
+// runs decide whether there are MaxCrashes.
+func (b *BrokenRuns) Count(judge func(*historypb.BrokenRun) Judgement) (crashed, open int) {
+	crashed = b.Confirmed()
+	undecided := b.undecided()
+	if crashed >= MaxCrashes || crashed+len(undecided) < MaxCrashes {
+		return crashed, 0
 	}
-	for key, end := range b.ends {
-		if count >= MaxCrashes {
-			break
+	for _, run := range undecided {
+		switch judge(run) {
+		case Crashed:
+			crashed++
+		case MayCrash:
+			open++
 		}
-		if end == historypb.RunEnd_RUN_END_UNKNOWN && isGone(key.target, key.startedAtMs) {
-			count++
+	}
+	return crashed, open
+}
+
+// undecided returns the runs of which it is not known what became of their targets, in no order.
+func (b *BrokenRuns) undecided() []*historypb.BrokenRun {
+	var list []*historypb.BrokenRun
+	for key, run := range b.runs {
+		if run.end == historypb.RunEnd_RUN_END_UNKNOWN || run.end == historypb.RunEnd_RUN_END_BROKEN {
+			list = append(list, key.record("", run))
 		}
 	}
-	return count >= MaxCrashes
+	return list
+}
+
+// record returns the record of a request's runs at the incarnation.
+func (i incarnation) record(request string, s runState) *historypb.BrokenRun {
+	return &historypb.BrokenRun{Request: request, Target: i.target, Born: i.startedAtMs, End: s.end, EndedMs: s.endedMs}
 }
 
 // records returns the broken runs as records of a request, in no order.
 func (b *BrokenRuns) records(request string) []*historypb.BrokenRun {
-	list := make([]*historypb.BrokenRun, 0, len(b.ends))
-	for key, end := range b.ends {
-		list = append(list, &historypb.BrokenRun{Request: request, Target: key.target, Born: key.startedAtMs, End: end})
+	list := make([]*historypb.BrokenRun, 0, len(b.runs))
+	for key, run := range b.runs {
+		list = append(list, key.record(request, run))
 	}
 	return list
 }
@@ -74,8 +128,8 @@
 // digest returns a hash of the broken runs of a request that does not depend on their order.
 func (b *BrokenRuns) digest(request string) uint64 {
 	sum := uint64(0)
-	for key, end := range b.ends {
-		sum += mix(hashString(request) ^ mix(hashString(key.target)+uint64(end)) ^ uint64(key.startedAtMs))
+	for key, run := range b.runs {
+		sum += mix(hashString(request) ^ mix(hashString(key.target)+uint64(run.end)) ^ uint64(key.startedAtMs))
 	}
 	return sum
 }
--- a/core/ledger/brokenrun_test.go
+++ b/core/ledger/brokenrun_test.go
@@ -10,10 +10,11 @@
 )
 
 const (
-	unknown = historypb.RunEnd_RUN_END_UNKNOWN
-	notRun  = historypb.RunEnd_RUN_END_NOT_RUN
-	broken  = historypb.RunEnd_RUN_END_BROKEN
-	crashed = historypb.RunEnd_RUN_END_CRASHED
+	unknown  = historypb.RunEnd_RUN_END_UNKNOWN
+	notRun   = historypb.RunEnd_RUN_END_NOT_RUN
+	broken   = historypb.RunEnd_RUN_END_BROKEN
+	outlived = historypb.RunEnd_RUN_END_OUTLIVED
+	crashed  = historypb.RunEnd_RUN_END_CRASHED
 )
 
 func brokenRun(request, target string, startedAtMs int64, end historypb.RunEnd) *historypb.Record {
@@ -26,12 +27,17 @@
 // a copy: a host that counts fewer would send the request on.
 func TestBrokenRunsMergeInAnyOrder(t *testing.T) {
 	records := []*historypb.Record{
-		brokenRun("r", "a", 1, broken), brokenRun("r", "a", 1, crashed), brokenRun("r", "a", 2, crashed), brokenRun("r", "b", 1, unknown), brokenRun("r", "e", 1, broken),
+		brokenRun("r", "a", 1, broken), brokenRun("r", "a", 1, crashed), brokenRun("r", "a", 2, crashed), brokenRun("r", "b", 1, unknown), brokenRun("r", "e", 1, broken), brokenRun("r", "e", 1, outlived),
 		brokenRun("r", "d", 1, unknown), brokenRun("r", "d", 1, notRun), brokenRun("other", "c", 1, crashed), reserve("p", "turn", 50),
 	}
-	nobodyGone := func(string, int64) bool { return false }
-	allGone := func(string, int64) bool { return true }
-	allGoneButB := func(target string, _ int64) bool { return target != "b" }
+	nobodyGone := func(*historypb.BrokenRun) Judgement { return NotCrashed }
+	allGone := func(*historypb.BrokenRun) Judgement { return Crashed }
+	allGoneButB := func(r *historypb.BrokenRun) Judgement {
+		if r.Target == "b" {
+			return MayCrash
+		}
+		return Crashed
+	}
 	rng := rand.New(rand.NewPCG(5, 6))
 	for range 200 {
 		l, replica := New(), New()
@@ -45,13 +51,36 @@
 		b.Merge(replica.BrokenRuns("p", "r"))
 		b.Merge([]*historypb.BrokenRun{{Request: "r", Target: "a", Born: 1}}) // of a replica that does not know of the crash
 		require.Equal(t, 2, b.Confirmed())
-		require.False(t, b.CrashLimitReached(nobodyGone))
-		require.False(t, b.CrashLimitReached(allGoneButB), "target d did not run the request, target e served on")
-		require.True(t, b.CrashLimitReached(allGone))
+		require.Equal(t, [2]int{2, 0}, count(b, nobodyGone))
+		require.Equal(t, [2]int{2, 1}, count(b, allGoneButB), "target d did not run the request, target e served on")
+		require.Equal(t, [2]int{3, 0}, count(b, allGone))
 		require.Equal(t, l.Digest("p"), replica.Digest("p"))
 	}
 }
 
+// count returns the results of Count.
+func count(b *BrokenRuns, judge func(*historypb.BrokenRun) Judgement) [2]int {
+	crashes, open := b.Count(judge)
+	return [2]int{crashes, open}
+}
+
+// A run whose target served right after it must count once the target turns out to have crashed.
+func TestBrokenRunCountsOnceItsTargetHasCrashed(t *testing.T) {
+	b := &BrokenRuns{}
+	for _, target := range []string{"a", "b", "c"} {
+		b.Merge([]*historypb.BrokenRun{{Target: target, End: broken}})
+	}
+	judgement := MayCrash
+	judge := func(*historypb.BrokenRun) Judgement { return judgement }
+	require.Equal(t, [2]int{0, 3}, count(b, judge))
+	judgement = Crashed
+	require.Equal(t, [2]int{3, 0}, count(b, judge))
+	b.Merge([]*historypb.BrokenRun{{Target: "a", End: outlived}})
+	require.Equal(t, [2]int{0, 0}, count(b, judge), "two cannot decide")
+	b.Merge([]*historypb.BrokenRun{{Target: "a", End: crashed}, {Target: "a", End: outlived}})
+	require.Equal(t, [2]int{3, 0}, count(b, judge), "one host saw the crash")
+}
+
 // A replica that lacks a broken run, or does not know that its target crashed, must be seen to differ.
 func TestDigestDependsOnBrokenRuns(t *testing.T) {
 	digest := func(records ...*historypb.Record) uint64 {
--- a/ctl/roles/cluster_test.go
+++ b/ctl/roles/cluster_test.go
@@ -5,9 +5,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -70,9 +72,24 @@
 	name, ip      string
 	host          *entry.Host
 	historyClient *quorum.Client
+	dialer        *processDialer
 	stop          context.CancelFunc
 }
 
+// processDialer dials for a process until that is killed.
+type processDialer struct {
+	vnet.Dialer
+	killed atomic.Bool
+}
+
+// DialContext implements targetpool.Dialer.
+func (d *processDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	if d.killed.Load() {
+		return nil, net.ErrClosed
+	}
+	return d.Dialer.DialContext(ctx, network, address)
+}
+
 // cluster holds entry and history hosts, with simulated targets and a simulated platform, in
 // one synctest bubble.
 type cluster struct {
@@ -296,7 +313,8 @@
 
 func (c *cluster) startEntryHost(e *entryHost) {
 	ctx, cancel := context.WithCancel(context.Background())
-	dialer := vnet.Dialer{Net: c.net, From: e.ip}
+	dialer := &processDialer{Dialer: vnet.Dialer{Net: c.net, From: e.ip}}
+	e.dialer = dialer
 	e.historyClient = quorum.New(dialer, c.dataCentre(e.name), logger(), nil)
 	e.historyClient.SetSeeds(c.seeds)
 	e.host = entry.New(entry.Options{
@@ -341,6 +359,7 @@
 // killEntryHost kills the process of an entry host.
 func (c *cluster) killEntryHost(i int) *entryHost {
 	e := c.entryHostAt(i)
+	e.dialer.killed.Store(true)
 	c.net.Crash(e.ip)
 	e.host.Close()
 	e.stop()
--- a/ctl/roles/crashes_test.go
+++ b/ctl/roles/crashes_test.go
@@ -259,11 +259,13 @@
 		}
 	}
 	for _, e := range c.incarnations {
+		crashed := map[*repeatedRequest]bool{}
 		for _, run := range e.Runs() {
 			q := byAttempt[run.ID]
 			q.runs = append(q.runs, run.At)
-			if !run.CrashedAt.IsZero() {
+			if !run.CrashedAt.IsZero() && !crashed[q] {
 				q.crashes = append(q.crashes, run.CrashedAt)
+				crashed[q] = true // one crash, however many runs the request had there
 			}
 		}
 	}
@@ -327,7 +329,7 @@
 			for _, a := range q.attempts {
 				if len(q.crashes) >= maxCrashes && a.SentAt.After(q.crashes[maxCrashes-1]) {
 					assert.LessOrEqual(t, a.EndedAt.Sub(a.SentAt), maxDenialTime, "%s %s", q.program, q.path)
-					assert.Contains(t, a.Answer, deniedAnswer)
+					assert.Contains(t, a.Answer, deniedAnswer, "%s %s", q.program, q.path)
 				}
 			}
 		}
--- a/daemon/entry/broken_run.go
+++ b/daemon/entry/broken_run.go
@@ -1,7 +1,7 @@
 package entry
 
 import (
-	"context"
+	"slices"
 	"time"
 
 	"github.com/pistachioarch/pistachioarch/core/balance"
@@ -9,67 +9,91 @@
 	"github.com/pistachioarch/pistachioarch/core/historypb"
 )
 
-// brokenRun is a run of a request whose target broke it off, before or within the answer, or which was
-// announced and then did not begin.
+// brokenRun is a run of a request that ended without an answer of the target that could be passed on, or
+// which was announced and then did not begin.
 type brokenRun struct {
 	target balance.TargetInfo
 	reason string
 	notRun bool
+	// answered is set if the target answered with a failure of its own.
+	answered bool
 }
 
-// isBrokenRun reports whether a failed send is a run that its target broke off. Runs that ended
-// because the caller left or the time was up are not.
-func isBrokenRun(ctx context.Context, f *failure.Failure) bool {
-	return ctx.Err() == nil && f.Ran != failure.RanNo && (f.Kind == failure.TargetFailed || f.Kind == failure.BadAnswer)
+// addBrokenRun notes a failed send if the target may have run the request, or if the run was announced and
+// did not begin.
+func (x *exchange) addBrokenRun(t balance.TargetInfo, f *failure.Failure) {
+	notRun := f.Ran == failure.RanNo
+	if !notRun || slices.Contains(x.announced, startOf(t)) {
+		x.newBrokenRuns = append(x.newBrokenRuns, brokenRun{target: t, reason: f.Detail, notRun: notRun})
+	}
 }
 
-// addBrokenRun notes a failed send if it is a run that its target broke off, or one that was announced
-// and did not begin.
-func (x *exchange) addBrokenRun(ctx context.Context, t balance.TargetInfo, f *failure.Failure) {
-	notRun := f.Ran == failure.RanNo && x.announcedTarget == t.ID
-	if notRun || isBrokenRun(ctx, f) {
-		x.newBrokenRuns = append(x.newBrokenRuns, brokenRun{target: t, reason: f.Detail, notRun: notRun})
+// addFailedRun notes a run that its target answered with a failure.
+func (x *exchange) addFailedRun(t balance.TargetInfo, status int) {
+	if x.limitsCrashes() {
+		reason := failure.New(failure.TargetFailed, "status %d", status).Error()
+		x.newBrokenRuns = append(x.newBrokenRuns, brokenRun{target: t, reason: reason, answered: true})
 	}
 }
 
-// takeBrokenRuns returns the runs noted since the last call. It finds out whether the target of a broken
-// run has crashed or only broke the connection.
-func (x *exchange) takeBrokenRuns() []*historypb.BrokenRun {
-	var list []*historypb.BrokenRun
-	for _, run := range x.newBrokenRuns {
-		end := historypb.RunEnd_RUN_END_NOT_RUN
-		if !run.notRun {
-			end = x.endOf(run)
-		}
-		list = append(list, &historypb.BrokenRun{Request: x.fingerprint, Target: run.target.ID, Born: run.target.StartedAtMs, End: end})
+// takeBrokenRuns returns the runs noted since the last call.
+func (x *exchange) takeBrokenRuns() []brokenRun {
+	runs := x.newBrokenRuns
+	x.newBrokenRuns = nil
+	return runs
+}
+
+// brokenRunRecord finds out how a run ended as far as it is known now, and returns its record.
+func (x *exchange) brokenRunRecord(run brokenRun) *historypb.BrokenRun {
+	end := historypb.RunEnd_RUN_END_NOT_RUN
+	if !run.notRun {
+		end = x.endOf(run)
 	}
-	x.newBrokenRuns, x.announcedTarget = nil, ""
-	return list
+	record := x.newBrokenRunRecord(startOf(run.target), end)
+	record.EndedMs = time.Now().UnixMilli()
+	return record
 }
 
-// endOf finds out whether the target of a broken run has crashed, and logs and counts the run.
+// newBrokenRunRecord returns the record of a run of the request.
+func (x *exchange) newBrokenRunRecord(t targetStart, end historypb.RunEnd) *historypb.BrokenRun {
+	return &historypb.BrokenRun{Request: x.fingerprint, Target: t.id, Born: t.startedAtMs, End: end}
+}
+
+// endOf finds out whether the target of a run has crashed, and logs and counts the run. A target that
+// serves is watched for some time.
 func (x *exchange) endOf(run brokenRun) historypb.RunEnd {
+	h := x.host
 	end := historypb.RunEnd_RUN_END_BROKEN
-	x.host.Meter.Count("runs", "broken")
-	if x.host.fateOf(startOf(run.target)) == fateCrashed {
+	h.Meter.Count("runs", "broken")
+	if !run.answered && h.fateOf(startOf(run.target)) == fateCrashed {
 		end = historypb.RunEnd_RUN_END_CRASHED
-		x.host.lastCrashes.record(x.service)
-		x.host.Meter.Count("runs", "crashed")
-	} else {
-		x.watchRun(run)
+		h.lastCrashes.record(x.service)
+		h.Meter.Count("runs", "crashed")
+	} else if x.limitsCrashes() {
+		x.ownWatches = append(x.ownWatches, x.watchRun(startOf(run.target), run.reason, time.Now()))
 	}
-	x.host.Log.Info("run broken off", "request", x.call.ID, "fingerprint", x.fingerprint, "program", x.call.Program, "route", x.route.Name,
+	h.Log.Info("run broken off", "request", x.call.ID, "fingerprint", x.fingerprint, "program", x.call.Program, "route", x.route.Name,
 		"target", run.target.ID, "crashed", end == historypb.RunEnd_RUN_END_CRASHED, "sends", x.sendCount, "reason", run.reason)
 	return end
 }
 
-// watchRun watches the target of a run that ended without an answer.
-func (x *exchange) watchRun(run brokenRun) {
-	w := &runWatch{
-		runKey: runKey{x.fingerprint, startOf(run.target)}, request: x.call.ID, service: x.service, reason: run.reason,
-		startedAt: time.Now(), news: make(chan struct{}, 1), end: historypb.RunEnd_RUN_END_BROKEN,
-	}
-	if w, isNew := x.host.runWatches.add(w); isNew {
+// watchRun watches the target of a run that ended without an answer at endedAt, and returns the watch, an
+// earlier one if there is one.
+func (x *exchange) watchRun(target targetStart, reason string, endedAt time.Time) *runWatch {
+	w, isNew := x.host.runWatches.add(&runWatch{
+		runKey: runKey{x.fingerprint, target}, request: x.call.ID, service: x.service, reason: reason,
+		program: x.recordProgram(), retention: x.retention(),
+		endedAt: endedAt, news: make(chan struct{}, 1), end: historypb.RunEnd_RUN_END_BROKEN,
+	})
+	if isNew {
 		go x.host.watch(w)
 	}
+	return w
+}
+
+// forgetBrokenRuns ends the watches of an answered request: it is not sent again.
+func (x *exchange) forgetBrokenRuns() {
+	for _, w := range x.ownWatches {
+		w.answered.Store(true)
+	}
 }
--- a/daemon/entry/crash_limit.go
+++ b/daemon/entry/crash_limit.go
@@ -22,6 +22,9 @@
 	// brokenRunWriteTimeout bounds how long a repeat, or the answer, waits until a broken run is
 	// durable. It covers the replacement of a history host as writer.
 	brokenRunWriteTimeout = 300 * time.Millisecond
+	// maxOpenRuns is the number of runs of one request that may be open at a time, if no target of the
+	// service is known to have crashed lately. It bounds what the request can do before the first crash.
+	maxOpenRuns = 2 * ledger.MaxCrashes
 	// brokenRunReadTimeout bounds how long a call waits for the broken runs of its earlier attempts.
 	brokenRunReadTimeout = 100 * time.Millisecond
 )
@@ -76,24 +79,84 @@
 	return nil
 }
 
-// crashLimitFailure returns the final failure of a request under which too many targets crashed, else
-// nil.
+// crashLimitFailure returns the failure of a request that must not be sent, else nil: a final one if too many
+// targets crashed under it, one to retry if that is not known yet.
 func (x *exchange) crashLimitFailure() error {
-	if !x.brokenRuns.CrashLimitReached(x.host.hasCrashed) || x.call.Program == "" && x.host.served.contains(x.fingerprint) {
+	if x.call.Program == "" && x.host.served.contains(x.fingerprint) {
 		return nil
 	}
-	x.host.Meter.Count("requests", "given_up")
-	return failure.Unknown(failure.TargetCrashes, "%d targets crashed while they ran the request", ledger.MaxCrashes)
+	var waits []time.Duration
+	crashed, open := x.brokenRuns.Count(func(run *historypb.BrokenRun) ledger.Judgement {
+		judgement, wait := x.judge(run)
+		if judgement == ledger.MayCrash {
+			waits = append(waits, wait)
+		}
+		return judgement
+	})
+	limit := x.openRunLimit()
+	switch {
+	case crashed >= ledger.MaxCrashes:
+		x.host.Meter.Count("requests", "given_up")
+		return failure.Unknown(failure.TargetCrashes, "%d targets crashed while they ran the request", ledger.MaxCrashes)
+	case crashed+open < limit:
+		return nil
+	}
+	slices.Sort(waits)
+	wait := waits[crashed+open-limit] // after that, too few runs are open
+	x.host.Meter.Count("requests", "held_back")
+	return failure.Retry(failure.TargetFailed, max(defaultRetryDelay, wait), "%d targets crashed while they ran the request, %d more may have", crashed, open)
+}
+
+// openRunLimit returns the number of runs, those open and those under which targets crashed, from which on the
+// request is held back.
+func (x *exchange) openRunLimit() int {
+	if x.host.lastCrashes.isRecent(x.service) {
+		return ledger.MaxCrashes
+	}
+	return maxOpenRuns
+}
+
+// judge finds out what became of the target of a run by now. wait is how long the run still counts if the
+// target may crash yet.
+func (x *exchange) judge(run *historypb.BrokenRun) (_ ledger.Judgement, wait time.Duration) {
+	target := targetStart{run.Target, run.Born}
+	announced := run.End == historypb.RunEnd_RUN_END_UNKNOWN
+	if announced && x.host.fateOf(target) != fateCrashed {
+		return ledger.NotCrashed, 0
+	}
+	w := x.watchRun(target, "run at another host", x.host.endedAt(run))
+	switch x.host.examine(w, false) {
+	case historypb.RunEnd_RUN_END_CRASHED:
+		return ledger.Crashed, 0
+	case historypb.RunEnd_RUN_END_BROKEN:
+		if wait = x.host.runWatches.openTime - time.Since(w.endedAt); wait > 0 {
+			return ledger.MayCrash, wait
+		}
+	}
+	return ledger.NotCrashed, 0
 }
 
-// announceRun makes durable, before the request is sent to a target, that it may run there, if targets
-// have crashed under it before. If this host is killed or cut off meanwhile, the next one finds out
-// what became of the target.
+// endedAt returns when a run ended, by the clock of the host that stored it. It is not in the future, and not
+// before the run would be watched no longer.
+func (h *Host) endedAt(run *historypb.BrokenRun) time.Time {
+	ago := time.Since(time.UnixMilli(run.EndedMs))
+	return time.Now().Add(-min(max(0, ago), h.runWatches.lateEndWindow))
+}
+
+// announceRun stores, before the request is sent to a target, that it may run there, if runs of it have ended
+// without an answer before, or if targets of the service crashed lately. If this host is killed or cut off
+// meanwhile, the next one finds out what became of the target. After a crash under the request it is not sent
+// before that is durable.
 func (x *exchange) announceRun(t balance.TargetInfo) error {
-	if x.brokenRuns.Confirmed() == 0 || !x.limitsCrashes() {
+	if !x.mustAnnounce() {
+		return nil
+	}
+	run := x.newBrokenRunRecord(startOf(t), historypb.RunEnd_RUN_END_UNKNOWN)
+	x.announced = append(x.announced, startOf(t))
+	if x.brokenRuns.Confirmed() == 0 {
+		x.host.storeBrokenRunsLater(x.recordProgram(), x.retention(), run)
 		return nil
 	}
-	run := &historypb.BrokenRun{Request: x.fingerprint, Target: t.ID, Born: t.StartedAtMs, End: historypb.RunEnd_RUN_END_UNKNOWN}
 	ctx, cancel := context.WithTimeout(context.Background(), brokenRunWriteTimeout)
 	defer cancel()
 	if err := x.writeBrokenRuns(ctx, brokenRunRecords([]*historypb.BrokenRun{run})); err != nil {
@@ -101,18 +164,52 @@
 		return failure.Retry(failure.HistoryUnavailable, x.historyRetryDelay(), "run after a crash not announced: %v", err)
 	}
 	x.brokenRuns.Merge([]*historypb.BrokenRun{run})
-	x.announcedTarget = t.ID
 	return nil
 }
 
+// mustAnnounce reports whether runs of the request are announced. Outside of programs, callers may send the
+// same request at once, and a first run of one of them says nothing of the others.
+func (x *exchange) mustAnnounce() bool {
+	if !x.limitsCrashes() {
+		return false
+	}
+	return x.brokenRuns.Known() || x.call.Program != "" && x.host.lastCrashes.isRecent(x.service)
+}
+
+// endAnnouncements stores that the request has been answered, if runs of it were announced. The program may
+// make the same call again; a turn is made once.
+func (x *exchange) endAnnouncements() {
+	if len(x.announced) == 0 || x.isTurn() {
+		return
+	}
+	var runs []*historypb.BrokenRun
+	for _, t := range x.announced {
+		runs = append(runs, x.newBrokenRunRecord(t, historypb.RunEnd_RUN_END_OUTLIVED))
+	}
+	x.host.storeBrokenRunsLater(x.recordProgram(), x.retention(), runs...)
+}
+
 // recordBrokenRuns makes new broken runs durable. It returns a failure if the request must not be sent
-// again: too many targets crashed under it, or that one has crashed could not be stored.
-func (x *exchange) recordBrokenRuns() error {
-	runs := x.takeBrokenRuns()
-	if len(runs) == 0 || !x.limitsCrashes() {
+// again: too many targets crashed under it, or that one has crashed could not be stored. If the caller has
+// left or the time is up, that is done in the background.
+func (x *exchange) recordBrokenRuns(ctx context.Context) error {
+	broken := x.takeBrokenRuns()
+	if len(broken) == 0 {
+		return nil
+	}
+	if ctx.Err() != nil {
+		x.host.background.Go(func() { x.recordGivenUpRuns(broken) })
+		return nil
+	}
+	runs := x.brokenRunList(broken)
+	if !x.limitsCrashes() {
 		return nil
 	}
 	x.brokenRuns.Merge(runs)
+	if !slices.ContainsFunc(runs, mayHaveRun) {
+		x.host.storeBrokenRunsLater(x.recordProgram(), x.retention(), runs...)
+		return nil
+	}
 	err := x.storeBrokenRuns(runs)
 	if limit := x.crashLimitFailure(); limit != nil {
 		return limit
@@ -124,6 +221,25 @@
 	return nil
 }
 
+// mayHaveRun reports whether a target may have run the request.
+func mayHaveRun(run *historypb.BrokenRun) bool { return run.End != historypb.RunEnd_RUN_END_NOT_RUN }
+
+// recordGivenUpRuns stores runs that ended because the caller left or the time was up.
+func (x *exchange) recordGivenUpRuns(broken []brokenRun) {
+	if runs := x.brokenRunList(broken); x.limitsCrashes() {
+		x.host.storeBrokenRunsLater(x.recordProgram(), x.retention(), runs...)
+	}
+}
+
+// brokenRunList returns the records of broken runs.
+func (x *exchange) brokenRunList(broken []brokenRun) []*historypb.BrokenRun {
+	var runs []*historypb.BrokenRun
+	for _, run := range broken {
+		runs = append(runs, x.brokenRunRecord(run))
+	}
+	return runs
+}
+
 // storeBrokenRuns stores broken runs and adds those that other hosts stored meanwhile. It does not
 // depend on the caller: one that leaves comes back through another host.
 func (x *exchange) storeBrokenRuns(runs []*historypb.BrokenRun) error {
@@ -133,7 +249,7 @@
 	if err := x.writeBrokenRuns(ctx, records); err != nil {
 		x.host.Meter.Count("broken_runs", "not_stored")
 		x.host.Log.Warn("broken runs not stored in time", "request", x.call.ID, "fingerprint", x.fingerprint, "error", err.Error())
-		x.storeBrokenRunsLater(runs)
+		x.host.storeBrokenRunsLater(x.recordProgram(), x.retention(), runs...)
 		return err
 	}
 	return x.readBrokenRuns(ctx)
@@ -144,16 +260,17 @@
 	return x.host.History.WriteUnlessUnreachable(ctx, 0, x.recordProgram(), x.retention(), records...)
 }
 
-// storeBrokenRunsLater tries on to store broken runs in the background, for recentCrashWindow.
-func (x *exchange) storeBrokenRunsLater(runs []*historypb.BrokenRun) {
-	if !x.host.History.Ready() {
+// storeBrokenRunsLater stores runs of one request under a program's name in the background. It tries for
+// recentCrashWindow.
+func (h *Host) storeBrokenRunsLater(program string, retention time.Duration, runs ...*historypb.BrokenRun) {
+	if !h.History.Ready() {
 		return
 	}
-	x.host.background.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), recentCrashWindow)
+	h.background.Go(func() {
+		ctx, cancel := context.WithTimeout(h.lifetime, recentCrashWindow)
 		defer cancel()
-		if err := x.host.History.Write(ctx, x.recordProgram(), x.retention(), brokenRunRecords(runs)...); err != nil {
-			x.host.Log.Warn("broken runs not stored", "request", x.call.ID, "fingerprint", x.fingerprint, "error", err.Error())
+		if err := h.History.Write(ctx, program, retention, brokenRunRecords(runs)...); err != nil {
+			h.Log.Warn("broken runs not stored", "fingerprint", runs[0].Request, "error", err.Error())
 		}
 	})
 }
--- a/daemon/entry/crash_limit_test.go
+++ b/daemon/entry/crash_limit_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -155,3 +156,66 @@
 	require.Equal(t, http.StatusBadGateway, a.status)
 	require.Equal(t, 1, sendCount(targets))
 }
+
+// failures are the ways in which a target may end a run before its process ends.
+var failures = map[string]answerFunc{
+	"connection broken": breakConnection,
+	"status 500":        func(_ int, _ received, id string) (string, bool) { return failedAnswer(id), false },
+	"no signature":      func(_ int, _ received, id string) (string, bool) { return unsigned(okAnswer(id, "x")), false },
+}
+
+// failedAnswer is a signed answer with status 500.
+func failedAnswer(id string) string {
+	return "HTTP/1.1 500 Failed\r\n" + ownheaders.ID + ": " + id + "\r\n" + ownheaders.Signature + ": s\r\nContent-Length: 0\r\n\r\n"
+}
+
+// watchForever makes the host of the system wait for late ends of targets without a limit, so that a test does
+// not depend on how busy the machine is.
+func (s *testSystem) watchForever() {
+	s.host.runWatches.lateEndWindow, s.host.runWatches.openTime = time.Hour, time.Hour
+}
+
+// endUsed ends the processes of the targets that have received a request.
+func endUsed(t *testing.T, targets []*fakeTarget) {
+	for _, x := range targets {
+		if len(x.requests()) > 0 {
+			_ = x.listener.Close() // those that have ended before
+		}
+	}
+}
+
+// A target that ends after the run under which it does must count, at every host.
+func TestTargetThatEndsAfterItsRunCounts(t *testing.T) {
+	for name, answer := range failures {
+		t.Run(name, func(t *testing.T) {
+			targets := startTargets(t, 6, func(t *testing.T, id string) *fakeTarget { return newFakeTarget(t, id, answer) })
+			s := newSystem(t, targets...)
+			for n := range 4 {
+				s.watchForever()
+				a := s.callRepeatedly(1, ownheaders.Program, "p")[0]
+				require.Equal(t, n >= 2, isGivenUp(a), "call %d: %+v", n, a)
+				endUsed(t, targets)
+				s.addHost()
+				list(s.host, nil, targets...)
+			}
+			require.Equal(t, ledger.MaxCrashes, sendCount(targets))
+		})
+	}
+}
+
+// A request whose runs fail at targets that serve on must not be given up, only held back for a moment.
+func TestRequestIsHeldBackWhileTargetsMayCrash(t *testing.T) {
+	for name, answer := range failures {
+		t.Run(name, func(t *testing.T) {
+			targets := startTargets(t, 12, func(t *testing.T, id string) *fakeTarget { return newFakeTarget(t, id, answer) })
+			s := newSystem(t, targets...)
+			s.watchForever()
+			s.callRepeatedly(3, ownheaders.Program, "p")
+			require.Equal(t, maxOpenRuns, sendCount(targets))
+			a := s.callRepeatedly(1, ownheaders.Program, "p")[0]
+			require.Equal(t, http.StatusServiceUnavailable, a.status)
+			require.NotEmpty(t, a.header.Get("Retry-After"))
+			require.Equal(t, maxOpenRuns, sendCount(targets))
+		})
+	}
+}
--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -40,10 +40,10 @@
 		if err == nil {
 			return nil
 		}
-		if limit := x.recordBrokenRuns(); limit != nil {
-			return limit
-		}
 		reported = failureToReport(reported, err)
+		if limit := x.recordBrokenRuns(ctx); limit != nil {
+			return failureToReport(reported, limit)
+		}
 		if !retry || ctx.Err() != nil {
 			return reported
 		}
@@ -181,7 +181,7 @@
 func (x *exchange) handleSendError(ctx context.Context, t balance.TargetInfo, err error) (retry bool, _ error) {
 	f := failure.From(err)
 	x.recordOutcome(t.ID, failureOutcome(ctx, f))
-	x.addBrokenRun(ctx, t, f)
+	x.addBrokenRun(t, f)
 	if f.Ran != failure.RanNo {
 		x.sendCount++
 	}
@@ -195,6 +195,6 @@
 		x.capacityWait.addFull(t.ID)
 	}
 	f := failure.Retry(failure.TargetFull, defaultRetryDelay, "target %s refused the request with status %d", t.ID, resp.Status)
-	x.addBrokenRun(x.r.Context(), t, f)
+	x.addBrokenRun(t, f)
 	return true, f
 }
--- a/daemon/entry/handle.go
+++ b/daemon/entry/handle.go
@@ -34,9 +34,10 @@
 	// holds those of all attempts as far as they are known.
 	newBrokenRuns []brokenRun
 	brokenRuns    ledger.BrokenRuns
-	// announcedTarget is the ID of the target at which a run was announced; empty if none was since
-	// the last run ended.
-	announcedTarget string
+	// announced are the targets at which runs were announced.
+	announced []targetStart
+	// ownWatches are the watches of runs of this attempt.
+	ownWatches []*runWatch
 	// held accounts for the memory that the host holds for the request.
 	held *requestMemory
 	// uploadTimedOut is set if the caller did not send its body in time. Its connection is
@@ -53,7 +54,9 @@
 	// headSent is set once the head of an answer was sent to the caller, at firstByteAt.
 	headSent    bool
 	firstByteAt time.Time
-	turn        *turn
+	// status is that of the target's answer that was passed on.
+	status int
+	turn   *turn
 	// programStarted reports whether an earlier request of the program was answered.
 	programStarted bool
 	targetID       string
@@ -108,8 +111,8 @@
 	firstByteAfter, events := time.Duration(0), int64(0)
 	m := x.host.Meter
 	m.Count("requests", "answered")
-	if x.call.Program == "" {
-		x.host.served.add(x.fingerprint)
+	if x.status < http.StatusInternalServerError {
+		x.recordServed()
 	}
 	m.Observe("request", time.Since(x.startedAt))
 	if x.turn != nil {
@@ -123,6 +126,15 @@
 		"first_ms", firstByteAfter.Milliseconds(), "after_ms", time.Since(x.startedAt).Milliseconds(), "events", events)
 }
 
+// recordServed notes that no target crashes under the request.
+func (x *exchange) recordServed() {
+	x.forgetBrokenRuns()
+	x.endAnnouncements()
+	if x.call.Program == "" {
+		x.host.served.add(x.fingerprint)
+	}
+}
+
 // serve reads, authorises and forwards the request.
 func (x *exchange) serve() error {
 	if err := x.accept(); err != nil {
--- a/daemon/entry/hedge.go
+++ b/daemon/entry/hedge.go
@@ -135,6 +135,9 @@
 		h.Log.Info("call not sent a second time", "request", x.call.ID, "target", first.ID, "error", err.Error())
 		return balance.TargetInfo{}, false
 	}
+	if err := x.announceRun(second); err != nil { // no run of a hedged call has crashed a target before
+		h.Log.Warn("second send not announced", "request", x.call.ID, "error", err.Error())
+	}
 	h.Meter.Count("second_sends", "sent")
 	h.Log.Info("call sent a second time", "request", x.call.ID, "target", second.ID, "beside", first.ID, "route", x.route.Name, "delay_ms", delay.Milliseconds())
 	return second, true
@@ -148,7 +151,7 @@
 	case result.resp == nil:
 		f := failure.From(result.err)
 		h.recordOutcome(result.target, failureOutcome(ctx, f))
-		x.addBrokenRun(ctx, result.target, f)
+		x.addBrokenRun(result.target, f)
 		return result.err
 	case result.err == nil && result.resp.Answer.NotRun:
 		h.recordOutcome(result.target, refusalOutcome(result.resp.Answer))
@@ -163,7 +166,9 @@
 		f := failure.Unknown(failure.BadAnswer, "answer of target %s with status %d during a hedged call: %v", result.target.ID, result.resp.Status, result.err)
 		h.recordOutcome(result.target, result.outcome(ctx, f))
 		if result.err != nil {
-			x.addBrokenRun(ctx, result.target, f)
+			x.addBrokenRun(result.target, f)
+		} else if result.resp.Status >= http.StatusInternalServerError {
+			x.addFailedRun(result.target, result.resp.Status)
 		}
 		return f
 	}
--- a/daemon/entry/host.go
+++ b/daemon/entry/host.go
@@ -88,7 +88,7 @@
 	reachability    *reachabilityMonitor
 	departures      departures
 	lastCrashes     lastCrashes
-	runWatches      runWatches
+	runWatches      *runWatches
 	served          servedRequests
 	startedAt       time.Time
 	loadExchanger   *loadExchanger
@@ -104,6 +104,9 @@
 	hedger   *hedge.Hedger
 
 	draining atomic.Bool
+	// lifetime ends with Run.
+	lifetime context.Context
+	end      context.CancelFunc
 	// background tracks work that continues after the answer, such as settling budgets.
 	background sync.WaitGroup
 }
@@ -120,7 +123,9 @@
 		registry:   registry,
 		dispatch:   dispatch.New(registry, dispatch.DefaultLimits()),
 		hedger:     hedge.New(),
+		runWatches: newRunWatches(),
 	}
+	h.lifetime, h.end = context.WithCancel(context.Background())
 	h.memory = newMemoryAccount(h)
 	h.confirmedAt.Store(neverConfirmed)
 	h.reachability = newReachabilityMonitor(h)
@@ -262,7 +267,7 @@
 		go h.loadExchanger.run(ctx)
 	}
 	h.pool.Reap(ctx)
-	close(h.reachability.done)
+	h.end()
 	h.pool.Close()
 }
 
--- a/daemon/entry/plain.go
+++ b/daemon/entry/plain.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		f := failure.Unknown(failure.BadAnswer, "reading the answer body of target %s: %v", t.ID, err)
 		f.Kind = failureKind(ctx, f.Kind)
-		x.addBrokenRun(ctx, t, f)
+		x.addBrokenRun(t, f)
 		x.recordOutcome(t.ID, failureOutcome(ctx, f))
 		return x.repeatable(), f
 	}
@@ -31,6 +31,7 @@
 		x.recordDuration(time.Since(x.sentAt))
 	} else {
 		x.recordOutcome(t.ID, balance.Failed)
+		x.addFailedRun(t, resp.Status)
 		if x.repeatable() && x.sendCount < x.route.MaxAttempts && x.hasUntriedTarget() {
 			return true, failure.Unknown(failure.TargetFailed, "target %s answered with status %d", t.ID, resp.Status)
 		}
@@ -38,6 +39,10 @@
 	if !x.repeatable() && x.impliesNotRun(resp.Status) {
 		return false, failure.Unknown(failure.BadAnswer, "target %s answered with status %d and did not mark the request as not run", t.ID, resp.Status)
 	}
+	if err := x.recordBrokenRunsOf(ctx, resp.Status); err != nil {
+		x.host.Log.Info("answer of a failed run is passed on", "request", x.call.ID, "target", t.ID, "status", resp.Status, "error", err.Error())
+	}
+	x.status = resp.Status
 	x.copyHeader(resp.Header)
 	x.w.Header().Set("Content-Length", strconv.FormatInt(body.size, 10))
 	x.headSent = true
@@ -48,6 +53,15 @@
 	return false, nil
 }
 
+// recordBrokenRunsOf is recordBrokenRuns for an answer that is about to be passed on, if it is a failure of
+// the target: its caller may come back.
+func (x *exchange) recordBrokenRunsOf(ctx context.Context, status int) error {
+	if status < http.StatusInternalServerError {
+		return nil
+	}
+	return x.recordBrokenRuns(ctx)
+}
+
 // impliesNotRun reports whether callers conclude from a status that the request has not run and
 // never will. Only the system may send such a status, or a target that marks the request as not
 // run explicitly.
--- a/daemon/entry/reachability.go
+++ b/daemon/entry/reachability.go
@@ -38,8 +38,6 @@
 	dataCentreChecks map[string]*dataCentreCheck
 	// connectChecks holds the check of each target that is under way.
 	connectChecks map[string]*connectCheck
-	// done is closed when the host stops and ends all probes.
-	done chan struct{}
 }
 
 // targetReachability is what is known of the reachability of one target.
@@ -56,7 +54,7 @@
 }
 
 func newReachabilityMonitor(h *Host) *reachabilityMonitor {
-	return &reachabilityMonitor{host: h, targets: map[string]*targetReachability{}, dataCentreLastHeard: map[string]time.Time{}, dataCentreChecks: map[string]*dataCentreCheck{}, connectChecks: map[string]*connectCheck{}, done: make(chan struct{})}
+	return &reachabilityMonitor{host: h, targets: map[string]*targetReachability{}, dataCentreLastHeard: map[string]time.Time{}, dataCentreChecks: map[string]*dataCentreCheck{}, connectChecks: map[string]*connectCheck{}}
 }
 
 // targetLocked returns the state of a target, a new one if there is none. The caller holds mu.
@@ -195,7 +193,7 @@
 		}
 		select {
 		case <-time.After(probeRetryDelay):
-		case <-m.done:
+		case <-m.host.lifetime.Done():
 			return
 		}
 	}
--- a/daemon/entry/reachability_test.go
+++ b/daemon/entry/reachability_test.go
@@ -97,7 +97,7 @@
 		h.reachability.startProbing("t1", "a")
 		time.Sleep(time.Second)
 		h.mu.Lock()
-		h.registry.RetainOnly(map[string]bool{})
+		h.registry.Remove("t1")
 		h.mu.Unlock()
 		time.Sleep(time.Second)
 		h.mu.Lock()
--- a/daemon/entry/run_watch.go
+++ b/daemon/entry/run_watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pistachioarch/pistachioarch/core/historypb"
@@ -11,8 +12,13 @@
 // with an error or writes its memory to disk. A run that did not end with an answer is therefore watched until
 // it is known what became of its target.
 
-// lateEndWindow is how long after a run the end of its target is put down to the run.
-const lateEndWindow = 3 * time.Second
+const (
+	// lateEndWindow is how long after a run the end of its target is put down to the run.
+	lateEndWindow = 3 * time.Second
+	// openRunTime is how long a run counts like one whose target crashed if the target serves on: another
+	// attempt would be too early to know. A caller can wait for that.
+	openRunTime = time.Second
+)
 
 // runKey identifies the runs of a request at one incarnation of a target.
 type runKey struct {
@@ -24,7 +30,12 @@
 type runWatch struct {
 	runKey
 	request, service, reason string
-	startedAt                time.Time
+	// program is the name under which the run is stored, for retention.
+	program   string
+	retention time.Duration
+	endedAt   time.Time
+	// answered is set once the request has been answered, so that nobody reads of its runs again.
+	answered atomic.Bool
 	// news receives a value when something is learned of the target.
 	news chan struct{}
 
@@ -51,12 +62,19 @@
 	return true
 }
 
-// runWatches holds the runs that are watched. The zero value is ready to use.
+// runWatches holds the runs that are watched.
 type runWatches struct {
+	// lateEndWindow and openTime are the constants of these names.
+	lateEndWindow, openTime time.Duration
+
 	mu    sync.Mutex
 	byKey map[runKey]*runWatch
 }
 
+func newRunWatches() *runWatches {
+	return &runWatches{lateEndWindow: lateEndWindow, openTime: openRunTime, byKey: map[runKey]*runWatch{}}
+}
+
 // add returns the watch of a run, and whether it is w, which it becomes if there is none.
 func (r *runWatches) add(w *runWatch) (*runWatch, bool) {
 	r.mu.Lock()
@@ -64,9 +82,6 @@
 	if old := r.byKey[w.runKey]; old != nil {
 		return old, false
 	}
-	if r.byKey == nil {
-		r.byKey = map[runKey]*runWatch{}
-	}
 	r.byKey[w.runKey] = w
 	return w, true
 }
@@ -77,13 +92,6 @@
 	delete(r.byKey, w.runKey)
 }
 
-// size returns the number of runs that are watched.
-func (r *runWatches) size() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.byKey)
-}
-
 // notify tells the watches of a target's runs that something was learned of the target.
 func (r *runWatches) notify(target string) {
 	r.mu.Lock()
@@ -103,21 +111,21 @@
 // the result as long again.
 func (h *Host) watch(w *runWatch) {
 	defer h.runWatches.remove(w)
-	window := time.NewTimer(lateEndWindow)
+	window := time.NewTimer(h.runWatches.lateEndWindow - time.Since(w.endedAt))
 	defer window.Stop()
 	for over := false; !over && w.currentEnd() == historypb.RunEnd_RUN_END_BROKEN; {
 		select {
 		case <-w.news:
 		case <-window.C:
 			over = true
-		case <-h.reachability.done:
+		case <-h.lifetime.Done():
 			return
 		}
 		h.examine(w, over)
 	}
 	select {
-	case <-time.After(lateEndWindow):
-	case <-h.reachability.done:
+	case <-time.After(h.runWatches.lateEndWindow):
+	case <-h.lifetime.Done():
 	}
 }
 
@@ -134,13 +142,18 @@
 	return w.currentEnd()
 }
 
-// endWatch records what became of the target of a watched run.
+// endWatch records what became of the target of a watched run, and stores it for the hosts of later attempts.
 func (h *Host) endWatch(w *runWatch, end historypb.RunEnd) {
-	if !w.setEnd(end) || end != historypb.RunEnd_RUN_END_CRASHED {
+	if !w.setEnd(end) {
 		return
 	}
-	h.lastCrashes.record(w.service)
-	h.Meter.Count("runs", "crashed_later")
-	h.Log.Info("target crashed after a run", "request", w.request, "fingerprint", w.fingerprint, "target", w.target.id,
-		"after_ms", time.Since(w.startedAt).Milliseconds(), "reason", w.reason)
+	if end == historypb.RunEnd_RUN_END_CRASHED {
+		h.lastCrashes.record(w.service)
+		h.Meter.Count("runs", "crashed_later")
+		h.Log.Info("target crashed after a run", "request", w.request, "fingerprint", w.fingerprint, "target", w.target.id,
+			"after_ms", time.Since(w.endedAt).Milliseconds(), "reason", w.reason)
+	}
+	if !w.answered.Load() {
+		h.storeBrokenRunsLater(w.program, w.retention, &historypb.BrokenRun{Request: w.fingerprint, Target: w.target.id, Born: w.target.startedAtMs, End: end})
+	}
 }
--- a/daemon/entry/slow_harness_test.go
+++ b/daemon/entry/slow_harness_test.go
@@ -94,7 +94,7 @@
 func (h *slowHost) stop() {
 	h.Close()
 	_ = h.network.Close()
-	close(h.reachability.done)
+	h.end()
 	h.pool.Close()
 	// http.Server waits for a short time between closing the two directions of a connection.
 	time.Sleep(time.Second)
--- a/daemon/entry/stream.go
+++ b/daemon/entry/stream.go
@@ -35,18 +35,20 @@
 		if local := localFailure(err); local != nil {
 			// The target has not failed.
 			x.recordOutcome(t.ID, balance.Abandoned)
-			return false, failure.Unknown(local.Kind, "stream of target %s: %v", t.ID, err)
+			f := failure.Unknown(local.Kind, "stream of target %s: %v", t.ID, err)
+			x.addBrokenRun(t, f)
+			return false, f
 		}
 		f := failure.Unknown(failure.BadAnswer, "stream of target %s ended early: %v", t.ID, err)
 		f.Kind = failureKind(ctx, f.Kind)
 		x.recordOutcome(t.ID, failureOutcome(ctx, f))
 		_ = resp.Body.Close()
-		x.addBrokenRun(ctx, t, f)
+		x.addBrokenRun(t, f)
 		if !x.route.Resumable || ctx.Err() != nil {
 			return false, f
 		}
-		if limit := x.recordBrokenRuns(); limit != nil {
-			return false, limit
+		if limit := x.recordBrokenRuns(ctx); limit != nil {
+			return false, failureToReport(f, limit)
 		}
 		var release context.CancelFunc
 		if t, resp, release, err = x.resume(ctx, lastEventID); failure.Is(err, failure.TargetCrashes) {
@@ -155,8 +157,8 @@
 			release()
 			f := failure.From(err)
 			x.recordOutcome(t.ID, failureOutcome(ctx, f))
-			x.addBrokenRun(ctx, t, f)
-			if limit := x.recordBrokenRuns(); limit != nil {
+			x.addBrokenRun(t, f)
+			if limit := x.recordBrokenRuns(ctx); limit != nil {
 				return balance.TargetInfo{}, nil, nil, limit
 			}
 			if f.Ran != failure.RanNo {
@@ -172,8 +174,8 @@
 		_ = resp.Body.Close()
 		release()
 		if resp.Answer.NotRun {
-			x.addBrokenRun(ctx, t, failure.New(failure.TargetFull, "status %d", resp.Status))
-			if limit := x.recordBrokenRuns(); limit != nil {
+			x.addBrokenRun(t, failure.New(failure.TargetFull, "status %d", resp.Status))
+			if limit := x.recordBrokenRuns(ctx); limit != nil {
 				return balance.TargetInfo{}, nil, nil, limit
 			}
 		}
--- a/daemon/entry/target_fate.go
+++ b/daemon/entry/target_fate.go
@@ -59,7 +59,9 @@
 	}
 }
 
-// hasCrashed reports whether an incarnation of a target is known to have ended without a plan.
-func (h *Host) hasCrashed(target string, startedAtMs int64) bool {
-	return h.fateOf(targetStart{target, startedAtMs}) == fateCrashed
+// recordCrash records that a target of a service crashed lately if one that is gone did.
+func (h *Host) recordCrash(t targetStart, service string) {
+	if h.fateOf(t) == fateCrashed {
+		h.lastCrashes.record(service)
+	}
 }
--- a/daemon/entry/view.go
+++ b/daemon/entry/view.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/pistachioarch/pistachioarch/core/balance"
 	"github.com/pistachioarch/pistachioarch/core/routing"
 	"github.com/pistachioarch/pistachioarch/core/subset"
@@ -138,19 +141,30 @@
 // Replaced implements objects.Listener.
 func (v *TargetView) Replaced(s objects.Snapshot) {
 	v.updateHalvings()
+	// A target that has crashed changes its entry no more, so that it comes before the one at its place.
+	byRevision := slices.SortedFunc(slices.Values(s.Items), func(a, b objects.Object) int { return cmp.Compare(a.Revision, b.Revision) })
 	ids := map[string]bool{}
-	for _, o := range s.Items {
+	for _, o := range byRevision {
 		ids[o.Name] = true
 		v.set(o)
 	}
+	for _, id := range v.listedExcept(ids) {
+		v.remove(id)
+	}
 	v.host.mu.Lock()
 	defer v.host.mu.Unlock()
-	v.host.registry.RetainOnly(ids)
 	for _, service := range v.host.registry.Services() {
 		v.host.observeVersions(service)
 	}
 }
 
+// listedExcept returns the targets that the host knows and that are not in ids.
+func (v *TargetView) listedExcept(ids map[string]bool) []string {
+	v.host.mu.Lock()
+	defer v.host.mu.Unlock()
+	return v.host.registry.IDsExcept(ids)
+}
+
 // Changed implements objects.Listener.
 func (v *TargetView) Changed(changes objects.Changes) {
 	v.updateHalvings()
@@ -181,7 +195,7 @@
 	v.host.mu.Lock()
 	old, known := v.host.registry.Target(info.ID)
 	if !known {
-		v.recordPredecessor(info)
+		v.recordPredecessors(info)
 	}
 	changed := !known || old.Draining != info.Draining || old.StartedAtMs != info.StartedAtMs
 	restarted := v.host.registry.SetTarget(info)
@@ -200,15 +214,13 @@
 	}
 }
 
-// recordPredecessor records the crash of a target whose address a new one has taken over. The platform
-// lists the former one for some time. The caller holds the mu of host.
-func (v *TargetView) recordPredecessor(info balance.TargetInfo) {
-	predecessor, found := v.host.registry.AddressHolder(info.Service, info.Address)
-	if !found {
-		return
+// recordPredecessors records the crash of targets whose address a new one has taken over. The platform
+// lists the former ones for some time. The caller holds the mu of host.
+func (v *TargetView) recordPredecessors(info balance.TargetInfo) {
+	for _, predecessor := range v.host.registry.AddressHolders(info.Service, info.Address) {
+		v.recordDeparture(predecessor.TargetInfo, true)
+		v.host.lastCrashes.record(info.Service)
 	}
-	v.recordDeparture(predecessor.TargetInfo, true)
-	v.host.lastCrashes.record(info.Service)
 }
 
 // recordDeparture records that a target is gone, or that another one has replaced it.
@@ -230,9 +242,7 @@
 	v.host.reachability.forget(id)
 	if known {
 		v.recordDeparture(old.TargetInfo, false)
-		if !old.Draining {
-			v.host.lastCrashes.record(old.Service)
-		}
+		go v.host.recordCrash(startOf(old.TargetInfo), old.Service)
 		v.host.Log.Info("target gone", "target", id)
 	}
 }
