platform: one odd object does not stop all that is read with it

Cause: a page of the store was decoded as a whole; encoding/json rejects it for one value that is nested too deeply, or for one field of metadata of another type. Change: a page that is rejected is taken apart token by token, without a limit on nesting, and each object is decoded by itself; only its name and revision must be sound. What an odd spec means is for those who read the kind. An object without a name is left out, with a log line. A page that is cut off is still no list. Evidence: six kinds of odd objects in a list and in a watch, 12 of 12 red before; all page prefixes are refused; 20 s of fuzzing.

--- a/Makefile
+++ b/Makefile
@@ -54,3 +54,4 @@
 	cd platform && $(GO) test -run '^$$' -fuzz FuzzCall -fuzztime 20s .
 	cd platform && $(GO) test -run '^$$' -fuzz FuzzTable -fuzztime 20s .
 	cd platform && $(GO) test -run '^$$' -fuzz FuzzLoad -fuzztime 20s .
+	cd platform && $(GO) test -run '^$$' -fuzz FuzzDecodeList -fuzztime 20s .
--- a/daemon/cmd/pistachiod/entry.go
+++ b/daemon/cmd/pistachiod/entry.go
@@ -40,7 +40,7 @@
 	}
 	hostCtx, stop := context.WithCancel(context.Background())
 	defer stop()
-	store := meter.CountStoreCalls(platform.NewStore(set.PlatformAddress), o.meter)
+	store := meter.CountStoreCalls(platform.NewStore(set.PlatformAddress, logger), o.meter)
 	sources := platformFollower{set, store, historyClient, logger}.start(hostCtx, host)
 	o.state = func() any { return entryState{host.State(), relaysOf(sources)} }
 	o.serve(hostCtx, set.MetricsListen())
--- a/daemon/cmd/pistachiod/history.go
+++ b/daemon/cmd/pistachiod/history.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return err
 	}
-	store := meter.CountStoreCalls(platform.NewStore(set.PlatformAddress), o.meter)
+	store := meter.CountStoreCalls(platform.NewStore(set.PlatformAddress, logger), o.meter)
 	retirements := platform.NewRetirements(store)
 	self := placement.Member{ID: server.MemberID(), Host: set.Host, Address: set.HistoryListen(), DataCentre: set.DataCentre, Region: set.Regions[set.DataCentre]}
 	controller := history.NewController(server, store, self, set.ToleratedHostFaults, retirements, peerDialer(), logger)
