core/placement, daemon: what another writer puts in place of the slot map is not used

An object {} of the map's kind was taken for a map: the first use of its slots ended the process (index out of range), a history host wrote it to its disk first and ended again at each start, and an entry host took an object of any name. One odd platform copy kept all others from being read.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -24,6 +24,9 @@
 // 100 history hosts hold about the same number each, few enough that the map stays below 64 KB.
 const GlobalSlotCount = 64
 
+// ObjectName is the name of the map's object in the platform's store.
+const ObjectName = "slots"
+
 // Member is one history host with one disk.
 type Member struct {
 	ID         string `json:"id"`
--- a/daemon/history/chain_test.go
+++ b/daemon/history/chain_test.go
@@ -88,7 +88,7 @@
 	s.ledger.Apply(&historypb.Record{Slot: placement.GlobalSlotOf("other"), Program: "other", ExpiresMs: 1000,
 		Change: &historypb.Record_Turn{Turn: &historypb.Turn{Turn: "1"}}})
 	require.Equal(t, historypb.Status_STATUS_OK, call(s, turnWrite(s, "p", "2", 9000, "1")).Status)
-	records, err := loadPlatformCopies(t.Context(), store)
+	records, err := loadPlatformCopies(t.Context(), store, log.New(io.Discard))
 	require.NoError(t, err)
 	stored := map[string]bool{}
 	for _, r := range records {
--- a/daemon/history/controller.go
+++ b/daemon/history/controller.go
@@ -18,7 +18,7 @@
 // MapKind and MapName identify the slot map object in the platform's store.
 const (
 	MapKind = "history"
-	MapName = "slots"
+	MapName = placement.ObjectName
 )
 
 // MapWatchTimeout is the duration of one watch of the slot map at a relay, which reports changes
@@ -75,6 +75,7 @@
 	mu          sync.Mutex
 	mapRevision uint64 // of the map object; 0 if the object does not exist
 	mapKnown    bool   // whether the map object, or its absence, has been read
+	mapSpoiled  bool   // whether another writer has put something else in place of the map
 
 	// Used by reconcile only, without mu.
 	reportedRetirements map[string]bool
@@ -159,15 +160,17 @@
 	if o.Name != MapName {
 		return
 	}
-	m := &placement.Map{}
-	if err := json.Unmarshal(o.Spec, m); err != nil {
-		c.logger.Error("slot map cannot be decoded", "revision", o.Revision, "error", err.Error())
-		return
-	}
+	m, err := placement.Decode(o.Spec)
 	c.mu.Lock()
 	c.mapKnown = true
-	c.mapRevision = max(c.mapRevision, o.Revision)
+	if o.Revision >= c.mapRevision {
+		c.mapRevision, c.mapSpoiled = o.Revision, err != nil
+	}
 	c.mu.Unlock()
+	if err != nil {
+		c.logger.Error("slot map not taken", "revision", o.Revision, "error", err.Error())
+		return
+	}
 	if err := c.server.Adopt(m); err != nil {
 		c.logger.Error("slot map not adopted", "epoch", m.Epoch, "error", err.Error())
 	}
@@ -178,7 +181,7 @@
 // members and replace silent or retiring ones.
 func (c *Controller) reconcile(ctx context.Context) {
 	c.mu.Lock()
-	known, revision := c.mapKnown, c.mapRevision
+	known, revision, spoiled := c.mapKnown, c.mapRevision, c.mapSpoiled
 	c.mu.Unlock()
 	if !known {
 		return
@@ -191,6 +194,10 @@
 	if m == nil {
 		return
 	}
+	if spoiled && c.isCoordinator(m, c.peers.silenceDurations()) {
+		c.updateMap(ctx, "map restored", func(*placement.Map) bool { return true })
+		return
+	}
 	if registered, in := m.Members[c.self.ID]; !in || registered != c.self {
 		c.admitSelf(ctx, m)
 		return
--- a/daemon/history/guard.go
+++ b/daemon/history/guard.go
@@ -47,7 +47,7 @@
 	if !c.joinsSlotWithoutActiveReplica(m) {
 		return true
 	}
-	records, err := loadPlatformCopies(ctx, c.store)
+	records, err := loadPlatformCopies(ctx, c.store, c.logger)
 	if err == nil {
 		err = c.storeRecords(records)
 	}
@@ -86,7 +86,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	n, err := deletePlatformCopies(ctx, c.store, m.Epoch)
+	n, err := deletePlatformCopies(ctx, c.store, m.Epoch, c.logger)
 	if err != nil {
 		c.logger.Warn("kept records not removed", "error", err.Error())
 		return
--- a/daemon/history/identity.go
+++ b/daemon/history/identity.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"io/fs"
 	"os"
@@ -48,11 +47,8 @@
 	if err != nil {
 		return nil, failure.Wrap(err, failure.Corrupt, "read slot map file")
 	}
-	m := &placement.Map{}
-	if err := json.Unmarshal(text, m); err != nil {
-		return nil, failure.Wrap(err, failure.Corrupt, "decode slot map file")
-	}
-	return m, nil
+	m, err := placement.Decode(text)
+	return m, failure.Wrap(err, failure.Corrupt, "decode slot map file")
 }
 
 // writeFile replaces a file atomically: after a power loss it has either the old or the new
--- a/daemon/history/platform_copy.go
+++ b/daemon/history/platform_copy.go
@@ -161,50 +161,68 @@
 	return created
 }
 
-// loadPlatformCopies returns all records stored at the platform.
-func loadPlatformCopies(ctx context.Context, store objects.Store) ([]*historypb.Record, error) {
+// platformCopy is an object with records.
+type platformCopy struct {
+	name    string
+	epoch   uint64
+	records []*historypb.Record
+}
+
+// listPlatformCopies returns the objects with records at the platform. One that cannot be decoded is logged and
+// left out: another writer has put it there.
+func listPlatformCopies(ctx context.Context, store objects.Store, logger *log.Logger) ([]platformCopy, error) {
 	list, err := store.List(ctx, PlatformCopyKind)
 	if err != nil {
 		return nil, err
 	}
-	var records []*historypb.Record
+	var copies []platformCopy
 	for _, o := range list.Items {
-		spec, err := decodePlatformCopy(o)
+		decoded, err := decodePlatformCopy(o)
 		if err != nil {
-			return nil, err
-		}
-		w := &historypb.Write{}
-		if err := proto.Unmarshal(spec.Write, w); err != nil {
-			return nil, failure.Wrap(err, failure.Internal, "decode platform copy %s", o.Name)
+			logger.Error("platform copy not taken", "object", o.Name, "revision", o.Revision, "error", err.Error())
+			continue
 		}
-		records = append(records, w.Records...)
+		copies = append(copies, decoded)
 	}
-	return records, nil
+	return copies, nil
 }
 
-// decodePlatformCopy decodes the spec of an object.
-func decodePlatformCopy(o objects.Object) (spec platformCopyObject, err error) {
-	err = json.Unmarshal(o.Spec, &spec)
-	return spec, failure.Wrap(err, failure.Internal, "decode platform copy %s", o.Name)
+// decodePlatformCopy decodes an object with records.
+func decodePlatformCopy(o objects.Object) (platformCopy, error) {
+	var spec platformCopyObject
+	if err := json.Unmarshal(o.Spec, &spec); err != nil {
+		return platformCopy{}, failure.Wrap(err, failure.InvalidDeclaration, "platform copy %s", o.Name)
+	}
+	w := &historypb.Write{}
+	if err := proto.Unmarshal(spec.Write, w); err != nil {
+		return platformCopy{}, failure.Wrap(err, failure.InvalidDeclaration, "platform copy %s", o.Name)
+	}
+	return platformCopy{name: o.Name, epoch: spec.Epoch, records: w.Records}, nil
+}
+
+// loadPlatformCopies returns all records stored at the platform.
+func loadPlatformCopies(ctx context.Context, store objects.Store, logger *log.Logger) ([]*historypb.Record, error) {
+	copies, err := listPlatformCopies(ctx, store, logger)
+	var records []*historypb.Record
+	for _, c := range copies {
+		records = append(records, c.records...)
+	}
+	return records, err
 }
 
 // deletePlatformCopies deletes the objects stored under epochs up to epoch, at which no slot is
 // guarded, and returns their number. Objects of later epochs stay: a member with an old map must
 // not delete what was stored under a newer one.
-func deletePlatformCopies(ctx context.Context, store objects.Store, epoch uint64) (removed int, err error) {
-	list, err := store.List(ctx, PlatformCopyKind)
+func deletePlatformCopies(ctx context.Context, store objects.Store, epoch uint64, logger *log.Logger) (removed int, err error) {
+	copies, err := listPlatformCopies(ctx, store, logger)
 	if err != nil {
 		return 0, err
 	}
-	for _, o := range list.Items {
-		spec, err := decodePlatformCopy(o)
-		if err != nil {
-			return removed, err
-		}
-		if spec.Epoch > epoch {
+	for _, c := range copies {
+		if c.epoch > epoch {
 			continue
 		}
-		if err := store.Delete(ctx, PlatformCopyKind, o.Name); err != nil && !failure.Is(err, failure.NotFound) {
+		if err := store.Delete(ctx, PlatformCopyKind, c.name); err != nil && !failure.Is(err, failure.NotFound) {
 			return removed, err
 		}
 		removed++
--- a/daemon/quorum/client.go
+++ b/daemon/quorum/client.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -84,9 +83,9 @@
 // adopt decodes a slot map from JSON and uses it if it is newer than the one in use. source is
 // logged.
 func (c *Client) adopt(encoded []byte, source string) {
-	m := &placement.Map{}
-	if err := json.Unmarshal(encoded, m); err != nil {
-		c.logger.Error("slot map cannot be decoded", "source", source, "error", err.Error())
+	m, err := placement.Decode(encoded)
+	if err != nil {
+		c.logger.Error("slot map not taken", "source", source, "error", err.Error())
 		return
 	}
 	c.mu.Lock()
@@ -118,7 +117,7 @@
 // Replaced implements objects.Listener.
 func (c *Client) Replaced(s objects.Snapshot) {
 	for _, o := range s.Items {
-		c.adopt(o.Spec, "platform")
+		c.adoptObject(o)
 	}
 }
 
@@ -126,11 +125,18 @@
 func (c *Client) Changed(changes objects.Changes) {
 	for _, e := range changes.Events {
 		if !e.Removed {
-			c.adopt(e.Object.Spec, "platform")
+			c.adoptObject(e.Object)
 		}
 	}
 }
 
+// adoptObject is adopt for an object of the platform's store. Other objects than the map's are ignored.
+func (c *Client) adoptObject(o objects.Object) {
+	if o.Name == placement.ObjectName {
+		c.adopt(o.Spec, "platform")
+	}
+}
+
 // Lost implements objects.Listener. The map in use stays: history hosts send a newer one with
 // the reply to a request of a stale epoch.
 func (c *Client) Lost(err error) {
