--- a/daemon/entry/crash_limit.go
+++ b/daemon/entry/crash_limit.go
@@ -11,6 +11,7 @@
 	"github.com/pistachioarch/pistachioarch/core/ledger"
 	"github.com/pistachioarch/pistachioarch/core/routing"
 	"github.com/pistachioarch/pistachioarch/daemon/quorum"
+	"github.com/pistachioarch/pistachioarch/wire/wait"
 )
 
 // A request under which targets crash must not be sent to one target after the other. The targets that
@@ -25,6 +26,8 @@
 	// maxOpenRuns is the number of runs of one request that may be open at a time, if no target of the
 	// service is known to have crashed lately. It bounds what the request can do before the first crash.
 	maxOpenRuns = 2 * ledger.MaxCrashes
+	// crashStoreInterval is the time between two attempts to store a crash in the background.
+	crashStoreInterval = time.Second
 	// brokenRunReadTimeout bounds how long a call waits for the broken runs of its earlier attempts.
 	brokenRunReadTimeout = 100 * time.Millisecond
 )
@@ -87,9 +90,9 @@
 	}
 	var waits []time.Duration
 	crashed, open := x.brokenRuns.Count(func(run *historypb.BrokenRun) ledger.Judgement {
-		judgement, wait := x.judge(run)
+		judgement, openFor := x.judge(run)
 		if judgement == ledger.MayCrash {
-			waits = append(waits, wait)
+			waits = append(waits, openFor)
 		}
 		return judgement
 	})
@@ -102,9 +105,9 @@
 		return nil
 	}
 	slices.Sort(waits)
-	wait := waits[crashed+open-limit] // after that, too few runs are open
+	delay := waits[crashed+open-limit] // after that, too few runs are open
 	x.host.Meter.Count("requests", "held_back")
-	return failure.Retry(failure.TargetFailed, max(defaultRetryDelay, wait), "%d targets crashed while they ran the request, %d more may have", crashed, open)
+	return failure.Retry(failure.TargetFailed, max(defaultRetryDelay, delay), "%d targets crashed while they ran the request, %d more may have", crashed, open)
 }
 
 // openRunLimit returns the number of runs, those open and those under which targets crashed, from which on the
@@ -116,9 +119,9 @@
 	return maxOpenRuns
 }
 
-// judge finds out what became of the target of a run by now. wait is how long the run still counts if the
+// judge finds out what became of the target of a run by now. openFor is how long the run still counts if the
 // target may crash yet.
-func (x *exchange) judge(run *historypb.BrokenRun) (_ ledger.Judgement, wait time.Duration) {
+func (x *exchange) judge(run *historypb.BrokenRun) (_ ledger.Judgement, openFor time.Duration) {
 	target := targetStart{run.Target, run.Born}
 	announced := run.End == historypb.RunEnd_RUN_END_UNKNOWN
 	if announced && x.host.fateOf(target) != fateCrashed {
@@ -129,8 +132,8 @@
 	case historypb.RunEnd_RUN_END_CRASHED:
 		return ledger.Crashed, 0
 	case historypb.RunEnd_RUN_END_BROKEN:
-		if wait = x.host.runWatches.openTime - time.Since(w.endedAt); wait > 0 {
-			return ledger.MayCrash, wait
+		if openFor = x.host.runWatches.openTime - time.Since(w.endedAt); openFor > 0 {
+			return ledger.MayCrash, openFor
 		}
 	}
 	return ledger.NotCrashed, 0
@@ -157,9 +160,7 @@
 		x.host.storeBrokenRunsLater(x.recordProgram(), x.retention(), run)
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), brokenRunWriteTimeout)
-	defer cancel()
-	if err := x.writeBrokenRuns(ctx, brokenRunRecords([]*historypb.BrokenRun{run})); err != nil {
+	if err := x.host.storeOnce(context.Background(), x.recordProgram(), x.retention(), []*historypb.BrokenRun{run}); err != nil {
 		x.recordOutcome(t.ID, balance.Abandoned)
 		return failure.Retry(failure.HistoryUnavailable, x.historyRetryDelay(), "run after a crash not announced: %v", err)
 	}
@@ -214,8 +215,7 @@
 	if limit := x.crashLimitFailure(); limit != nil {
 		return limit
 	}
-	crashed := slices.ContainsFunc(runs, func(r *historypb.BrokenRun) bool { return r.End == historypb.RunEnd_RUN_END_CRASHED })
-	if err != nil && crashed {
+	if err != nil && slices.ContainsFunc(runs, isCrash) {
 		return failure.Unknown(failure.HistoryUnavailable, "crash of a target not stored: %v", err)
 	}
 	return nil
@@ -245,8 +245,7 @@
 func (x *exchange) storeBrokenRuns(runs []*historypb.BrokenRun) error {
 	ctx, cancel := context.WithTimeout(context.Background(), brokenRunWriteTimeout)
 	defer cancel()
-	records := brokenRunRecords(runs)
-	if err := x.writeBrokenRuns(ctx, records); err != nil {
+	if err := x.host.storeOnce(ctx, x.recordProgram(), x.retention(), runs); err != nil {
 		x.host.Meter.Count("broken_runs", "not_stored")
 		x.host.Log.Warn("broken runs not stored in time", "request", x.call.ID, "fingerprint", x.fingerprint, "error", err.Error())
 		x.host.storeBrokenRunsLater(x.recordProgram(), x.retention(), runs...)
@@ -255,13 +254,8 @@
 	return x.readBrokenRuns(ctx)
 }
 
-// writeBrokenRuns writes records of broken runs, unless the history hosts are known to be unreachable.
-func (x *exchange) writeBrokenRuns(ctx context.Context, records []*historypb.Record) error {
-	return x.host.History.WriteUnlessUnreachable(ctx, 0, x.recordProgram(), x.retention(), records...)
-}
-
-// storeBrokenRunsLater stores runs of one request under a program's name in the background. It tries for
-// recentCrashWindow.
+// storeBrokenRunsLater stores runs of one request under a program's name in the background. A crash is worth
+// trying for recentCrashWindow, other ends are dropped if they cannot be stored at once.
 func (h *Host) storeBrokenRunsLater(program string, retention time.Duration, runs ...*historypb.BrokenRun) {
 	if !h.History.Ready() {
 		return
@@ -269,12 +263,27 @@
 	h.background.Go(func() {
 		ctx, cancel := context.WithTimeout(h.lifetime, recentCrashWindow)
 		defer cancel()
-		if err := h.History.Write(ctx, program, retention, brokenRunRecords(runs)...); err != nil {
+		err := h.storeOnce(ctx, program, retention, runs)
+		for err != nil && slices.ContainsFunc(runs, isCrash) && wait.For(ctx, crashStoreInterval) {
+			err = h.storeOnce(ctx, program, retention, runs)
+		}
+		if err != nil {
 			h.Log.Warn("broken runs not stored", "fingerprint", runs[0].Request, "error", err.Error())
 		}
 	})
 }
 
+// storeOnce stores runs of one request within brokenRunWriteTimeout, unless the history hosts are known to be
+// unreachable.
+func (h *Host) storeOnce(ctx context.Context, program string, retention time.Duration, runs []*historypb.BrokenRun) error {
+	ctx, cancel := context.WithTimeout(ctx, brokenRunWriteTimeout)
+	defer cancel()
+	return h.History.WriteUnlessUnreachable(ctx, 0, program, retention, brokenRunRecords(runs)...)
+}
+
+// isCrash reports whether a run is known to have crashed its target.
+func isCrash(run *historypb.BrokenRun) bool { return run.End == historypb.RunEnd_RUN_END_CRASHED }
+
 // brokenRunRecords returns a record of each run. A record belongs to one write.
 func brokenRunRecords(runs []*historypb.BrokenRun) []*historypb.Record {
 	records := make([]*historypb.Record, 0, len(runs))
--- a/daemon/entry/harness_test.go
+++ b/daemon/entry/harness_test.go
@@ -213,6 +213,7 @@
 	}
 	s.server = httptest.NewServer(s.host)
 	t.Cleanup(s.server.Close)
+	t.Cleanup(s.host.end)
 	return s
 }
 
--- a/daemon/entry/resume_test.go
+++ b/daemon/entry/resume_test.go
@@ -116,6 +116,7 @@
 	s.adopt(s.slotMap)
 	s.server = httptest.NewServer(next)
 	s.t.Cleanup(s.server.Close)
+	s.t.Cleanup(next.end)
 }
 
 // A stream that its target breaks off must not continue at another software version.
