daemon/entry: requests under which targets crashed are kept apart from each other

Callers saw: of the innocent requests beside one under which targets end, some were given up. Change: a request with a crash goes to one of the four cheapest targets, by a hash of its fingerprint.

--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -346,3 +346,28 @@
 	require.True(t, ok)
 	require.Equal(t, first.ID, next.ID, "retried long after the failure")
 }
+
+// Requests with different texts must be spread over the cheapest targets, and one text keeps its target.
+func TestSpreadByKeepsRequestsApart(t *testing.T) {
+	r := NewRegistry("dc", DefaultWeights())
+	for i := range 16 {
+		r.SetTarget(TargetInfo{ID: fmt.Sprintf("t%d", i), Service: "s", DataCentre: "dc", Capacity: 4})
+		x, _ := r.Target(fmt.Sprintf("t%d", i))
+		for range i / spreadWidth {
+			x.RecordSend(nil, 0)
+		}
+	}
+	chosen := map[string]int{}
+	for i := range 200 {
+		q := Query{Service: "s", SpreadBy: fmt.Sprintf("request-%d", i)}
+		first, ok := r.Pick(q, 0)
+		require.True(t, ok)
+		again, _ := r.Pick(q, 0)
+		require.Equal(t, first.ID, again.ID)
+		chosen[first.ID]++
+	}
+	require.Len(t, chosen, spreadWidth)
+	for _, id := range []string{"t0", "t1", "t2", "t3"} {
+		require.Greater(t, chosen[id], 25, id)
+	}
+}
--- a/core/balance/pick.go
+++ b/core/balance/pick.go
@@ -1,6 +1,9 @@
 package balance
 
 import (
+	"cmp"
+	"hash/fnv"
+	"slices"
 	"time"
 
 	"github.com/pistachioarch/pistachioarch/core/request"
@@ -21,6 +24,9 @@
 	Exclude map[string]bool
 	// Allowed holds the IDs of the targets that may be chosen; if empty, all may.
 	Allowed map[string]bool
+	// SpreadBy selects one of the spreadWidth targets of the lowest cost by a hash of this text and the
+	// target's ID, so that requests with different texts are kept apart; empty selects the lowest cost.
+	SpreadBy string
 	// DataCentres holds the data centres whose targets may be chosen.
 	DataCentres DataCentreSet
 	// SoftwareVersion is the software version that the target must have; if empty, any.
@@ -36,6 +42,35 @@
 	return q.SoftwareVersion == "" || q.SoftwareVersion == t.SoftwareVersion
 }
 
+// spreadWidth is the number of targets over which SpreadBy spreads requests.
+const spreadWidth = 4
+
+// pickSpread returns the target that SpreadBy selects. At least one target is usable.
+func (r *Registry) pickSpread(q *Query, sel *selection, s *service, now time.Duration) *Target {
+	type candidate struct {
+		target *Target
+		cost   float64
+	}
+	var candidates []candidate
+	for _, t := range s.targets {
+		if q.allows(t) && t.unusableReason(now) == "" {
+			candidates = append(candidates, candidate{t, r.cost(t, sel)})
+		}
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
+	cheapest := candidates[:min(spreadWidth, len(candidates))]
+	byRank := func(a, b candidate) int { return cmp.Compare(q.rank(a.target), q.rank(b.target)) }
+	return slices.MinFunc(cheapest, byRank).target
+}
+
+// rank returns the rank of a target for SpreadBy.
+func (q *Query) rank(t *Target) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(q.SpreadBy)) // a hash accepts all writes
+	_, _ = h.Write([]byte(t.ID))
+	return h.Sum32()
+}
+
 // DataCentreSet is a set of data centres; nil contains all of them.
 type DataCentreSet map[string]bool
 
@@ -87,6 +122,9 @@
 	if best == nil {
 		return Choice{}, false
 	}
+	if q.SpreadBy != "" {
+		best = r.pickSpread(&q, &sel, s, now)
+	}
 	choice := best.choice(best.uncachedTokens(&sel), now, candidates)
 	if sel.predictFinish {
 		choice.Slowdown, choice.Predicted = best.slowdown(now), r.predict(best, &sel)
--- a/daemon/entry/crash_limit.go
+++ b/daemon/entry/crash_limit.go
@@ -32,6 +32,9 @@
 	brokenRunReadTimeout = 100 * time.Millisecond
 )
 
+// brokenRunTimeouts are the timeouts of reads and writes of broken runs.
+type brokenRunTimeouts struct{ write, read time.Duration }
+
 // limitsCrashes reports whether the targets that crash under the request are counted. A request that
 // must not run twice is not repeated, by this host or its caller.
 func (x *exchange) limitsCrashes() bool { return x.route.Kind != routing.AtMostOnce }
@@ -67,7 +70,7 @@
 	if !x.host.History.IsServable(x.recordProgram()) {
 		return failure.New(failure.HistoryUnavailable, "history hosts of the request are unreachable")
 	}
-	ctx, cancel := context.WithTimeout(ctx, brokenRunReadTimeout)
+	ctx, cancel := context.WithTimeout(ctx, x.host.brokenRunTimeouts.read)
 	defer cancel()
 	return x.readBrokenRuns(ctx)
 }
@@ -243,7 +246,7 @@
 // storeBrokenRuns stores broken runs and adds those that other hosts stored meanwhile. It does not
 // depend on the caller: one that leaves comes back through another host.
 func (x *exchange) storeBrokenRuns(runs []*historypb.BrokenRun) error {
-	ctx, cancel := context.WithTimeout(context.Background(), brokenRunWriteTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), x.host.brokenRunTimeouts.write)
 	defer cancel()
 	if err := x.host.storeOnce(ctx, x.recordProgram(), x.retention(), runs); err != nil {
 		x.host.Meter.Count("broken_runs", "not_stored")
@@ -276,7 +279,7 @@
 // storeOnce stores runs of one request within brokenRunWriteTimeout, unless the history hosts are known to be
 // unreachable.
 func (h *Host) storeOnce(ctx context.Context, program string, retention time.Duration, runs []*historypb.BrokenRun) error {
-	ctx, cancel := context.WithTimeout(ctx, brokenRunWriteTimeout)
+	ctx, cancel := context.WithTimeout(ctx, h.brokenRunTimeouts.write)
 	defer cancel()
 	return h.History.WriteUnlessUnreachable(ctx, 0, program, retention, brokenRunRecords(runs)...)
 }
--- a/daemon/entry/crash_limit_test.go
+++ b/daemon/entry/crash_limit_test.go
@@ -175,6 +175,9 @@
 	s.host.runWatches.lateEndWindow, s.host.runWatches.openTime = time.Hour, time.Hour
 }
 
+// patientBrokenRunTimeouts replaces the timeouts of a deployment; see harnessTimeout.
+var patientBrokenRunTimeouts = brokenRunTimeouts{write: harnessTimeout, read: harnessTimeout}
+
 // endUsed ends the processes of the targets that have received a request.
 func endUsed(t *testing.T, targets []*fakeTarget) {
 	for _, x := range targets {
--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -80,7 +80,7 @@
 	decision := h.dispatch.Decide(dispatch.Request{
 		Query: balance.Query{
 			Service: x.service, WorkKind: x.route.Name, Parts: x.call.Prefix, PromptTokens: x.call.PromptTokens, Exclude: x.tried, Allowed: x.capacityWait.retryTargets(), DataCentres: x.allowedDataCentres(),
-			SoftwareVersion: x.softwareVersion,
+			SoftwareVersion: x.softwareVersion, SpreadBy: x.spreadBy(),
 		},
 		ProgramStarted: !x.startsProgram() || x.sendCount > 0, Draw: x.draw(),
 	}, h.now())
@@ -104,6 +104,15 @@
 	return target, nil
 }
 
+// spreadBy keeps requests under which targets have crashed apart from each other: one of them may be the cause,
+// and the others would meet it again and again.
+func (x *exchange) spreadBy() string {
+	if x.brokenRuns.Confirmed() == 0 {
+		return ""
+	}
+	return x.fingerprint
+}
+
 // roundHundredths rounds a value to two decimals for the log.
 func roundHundredths(v float64) float64 { return math.Round(100*v) / 100 }
 
--- a/daemon/entry/harness_test.go
+++ b/daemon/entry/harness_test.go
@@ -195,6 +195,7 @@
 	s.startHistory(3)
 	s.host = New(Options{Headers: ownheaders.Headers{}, History: s.history, Dialer: &net.Dialer{}, DataCentre: "dc1", ReadyPath: "/ready", Log: discardLog(),
 		HistoryTimeout: harnessTimeout})
+	s.host.brokenRunTimeouts = patientBrokenRunTimeouts
 	engine := &routing.Engine{Capacity: 4, TokensPerEvent: 3}
 	route := func(prefix string, r routing.Route) *routing.Route {
 		r.Host, r.Prefix, r.Services = "example", prefix, []routing.WeightedService{{Service: "s", Weight: 1}}
--- a/daemon/entry/host.go
+++ b/daemon/entry/host.go
@@ -90,8 +90,10 @@
 	lastCrashes     lastCrashes
 	runWatches      *runWatches
 	served          servedRequests
-	startedAt       time.Time
-	loadExchanger   *loadExchanger
+	// brokenRunTimeouts are the constants of these names.
+	brokenRunTimeouts brokenRunTimeouts
+	startedAt         time.Time
+	loadExchanger     *loadExchanger
 
 	// memory accounts for what requests hold.
 	memory *memoryAccount
@@ -124,6 +126,8 @@
 		dispatch:   dispatch.New(registry, dispatch.DefaultLimits()),
 		hedger:     hedge.New(),
 		runWatches: newRunWatches(),
+
+		brokenRunTimeouts: brokenRunTimeouts{write: brokenRunWriteTimeout, read: brokenRunReadTimeout},
 	}
 	h.lifetime, h.end = context.WithCancel(context.Background())
 	h.memory = newMemoryAccount(h)
--- a/daemon/entry/resume_test.go
+++ b/daemon/entry/resume_test.go
@@ -111,6 +111,7 @@
 	client := quorum.New(&net.Dialer{}, "dc1", discardLog(), nil)
 	client.SetTimeouts(memberTimeout)
 	next := New(Options{Headers: ownheaders.Headers{}, History: client, Dialer: &net.Dialer{}, DataCentre: "dc1", ReadyPath: "/ready", Log: discardLog(), HistoryTimeout: harnessTimeout})
+	next.brokenRunTimeouts = patientBrokenRunTimeouts
 	next.SetTable(s.host.table.Load())
 	s.history, s.host = client, next
 	s.adopt(s.slotMap)
