--- /dev/null
+++ b/daemon/entry/announce.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/pistachioarch/pistachioarch/core/balance"
+	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/core/historypb"
+)
+
+// announceRun stores, before the request is sent to a target, that it may run there, if runs of it have ended
+// without an answer before, or if targets of the service crashed lately. If this host is killed or cut off
+// meanwhile, the next one finds out what became of the target. After a crash under the request it is not sent
+// before that is durable.
+func (x *exchange) announceRun(t balance.TargetInfo) error {
+	if !x.mustAnnounce() {
+		return nil
+	}
+	run := x.newBrokenRunRecord(startOf(t), historypb.RunEnd_RUN_END_UNKNOWN)
+	x.announced = append(x.announced, startOf(t))
+	if x.brokenRuns.Confirmed() == 0 {
+		x.host.storeBrokenRunsLater(x.recordProgram(), x.retention(), run)
+		return nil
+	}
+	if err := x.host.storeOnce(context.Background(), x.recordProgram(), x.retention(), []*historypb.BrokenRun{run}); err != nil {
+		x.recordOutcome(t.ID, balance.Abandoned)
+		return failure.Retry(failure.HistoryUnavailable, x.historyRetryDelay(), "run after a crash not announced: %v", err)
+	}
+	x.brokenRuns.Merge([]*historypb.BrokenRun{run})
+	return nil
+}
+
+// mustAnnounce reports whether runs of the request are announced. Outside of programs, callers may send the
+// same request at once, and a first run of one of them says nothing of the others.
+func (x *exchange) mustAnnounce() bool {
+	if !x.limitsCrashes() {
+		return false
+	}
+	return x.brokenRuns.Known() || x.call.Program != "" && x.host.lastCrashes.isRecent(x.service)
+}
+
+// endAnnouncements stores that the request has been answered, if runs of it were announced. The program may
+// make the same call again; a turn is made once.
+func (x *exchange) endAnnouncements() {
+	if len(x.announced) == 0 || x.isTurn() {
+		return
+	}
+	var runs []*historypb.BrokenRun
+	for _, t := range x.announced {
+		runs = append(runs, x.newBrokenRunRecord(t, historypb.RunEnd_RUN_END_OUTLIVED))
+	}
+	x.host.storeBrokenRunsLater(x.recordProgram(), x.retention(), runs...)
+}
--- a/daemon/entry/broken_run.go
+++ b/daemon/entry/broken_run.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/pistachioarch/pistachioarch/core/balance"
@@ -31,8 +32,7 @@
 // addFailedRun notes a run that its target answered with a failure.
 func (x *exchange) addFailedRun(t balance.TargetInfo, status int) {
 	if x.limitsCrashes() {
-		reason := failure.New(failure.TargetFailed, "status %d", status).Error()
-		x.newBrokenRuns = append(x.newBrokenRuns, brokenRun{target: t, reason: reason, answered: true})
+		x.newBrokenRuns = append(x.newBrokenRuns, brokenRun{target: t, reason: "status " + strconv.Itoa(status), answered: true})
 	}
 }
 
--- a/daemon/entry/doc.go
+++ b/daemon/entry/doc.go
@@ -7,7 +7,8 @@
 //	       -> crash_limit.go: give up a request under which targets crashed (history hosts)
 //	       -> quota.go: take a token of the customer quota  (history hosts)
 //	       -> forward.go: pick a target, send, retry        (core/balance, targetpool)
-//	          broken_run.go, connect_check.go: find out whether a target crashed
+//	          broken_run.go, run_watch.go, target_fate.go: find out whether a target crashed
+//	          broken_run_store.go, announce.go: tell the hosts of later attempts
 //	          hedge.go, capacity_wait.go: second sends, wait for full targets
 //	       -> plain.go / stream.go: pass the answer to the caller
 //	       -> turn.go: settle budget, store the turn        (history hosts)
