--- a/daemon/entry/announce.go
+++ b/daemon/entry/announce.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pistachioarch/pistachioarch/core/balance"
 	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/core/historypb"
 )
 
+// announceWindow is how long after a crash of a service first runs are announced. A request that makes targets
+// crash comes back within it, and announcements cost a write or two for each request.
+const announceWindow = 5 * time.Second
+
 // announceRun stores, before the request is sent to a target, that it may run there, if runs of it have ended
 // without an answer before, or if targets of the service crashed lately. If this host is killed or cut off
 // meanwhile, the next one finds out what became of the target. After a crash under the request it is not sent
@@ -36,7 +41,7 @@
 	if !x.limitsCrashes() {
 		return false
 	}
-	return x.brokenRuns.Known() || x.call.Program != "" && x.host.lastCrashes.isRecent(x.service)
+	return x.brokenRuns.Known() || x.call.Program != "" && x.host.lastCrashes.isWithin(x.service, announceWindow)
 }
 
 // endAnnouncements stores that the request has been answered, if runs of it were announced. The program may
--- a/daemon/entry/last_crashes.go
+++ b/daemon/entry/last_crashes.go
@@ -27,9 +27,12 @@
 }
 
 // isRecent reports whether a target of the service has crashed within recentCrashWindow.
-func (l *lastCrashes) isRecent(service string) bool {
+func (l *lastCrashes) isRecent(service string) bool { return l.isWithin(service, recentCrashWindow) }
+
+// isWithin reports whether a target of the service has crashed within window.
+func (l *lastCrashes) isWithin(service string, window time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	at, known := l.at[service]
-	return known && time.Since(at) <= recentCrashWindow
+	return known && time.Since(at) <= window
 }
