--- a/ctl/roles/cluster_test.go
+++ b/ctl/roles/cluster_test.go
@@ -108,6 +108,7 @@
 	// crashMarker is in the body of requests under which targets crash; empty if none do. Targets that
 	// crash are started again as new incarnations, all of which are in incarnations.
 	crashMarker  string
+	crashAnswers standin.AnswerCounts
 	incarnations []*standin.TurnEngine
 	// loseEvery makes targets break the connection of every n-th run; 0 for none.
 	loseEvery int
--- a/ctl/roles/crashes_test.go
+++ b/ctl/roles/crashes_test.go
@@ -57,6 +57,10 @@
 	interval time.Duration
 	// ways are the ways in which the targets crash; none for standin.CrashAtOnce.
 	ways []standin.CrashWay
+	// answersFirst is the number of times that a request is answered before targets crash under it.
+	answersFirst int
+	// outsidePrograms reports that the requests do not belong to programs.
+	outsidePrograms bool
 	// loseEvery makes targets break the connection of every n-th run; 0 for none.
 	loseEvery int
 	// inject adds faults of hosts; nil for none.
@@ -100,6 +104,9 @@
 		}
 	}},
 	{name: "targets that end after the request", crashing: 24, interval: 500 * time.Millisecond, ways: lateWays},
+	{name: "requests answered before, in programs", crashing: 24, interval: 400 * time.Millisecond, answersFirst: 1},
+	{name: "requests answered before, outside of programs", crashing: 24, interval: 400 * time.Millisecond, answersFirst: 1, outsidePrograms: true},
+	{name: "requests answered before, targets that end after the request", crashing: 24, interval: 500 * time.Millisecond, ways: lateWays, answersFirst: 3, outsidePrograms: true},
 	{name: "targets that end after the request, entry hosts killed", crashing: 24, interval: 500 * time.Millisecond, ways: lateWays, inject: killEntryHosts},
 }
 
@@ -123,10 +130,20 @@
 
 // crashBody returns the body of the n-th request under which targets crash.
 func (cc *crashCase) crashBody(n int, r *rand.Rand) string {
-	if len(cc.ways) == 0 {
-		return crashMarker + strings.Repeat("x", r.IntN(3))
+	plan := standin.CrashPlan{AnswersFirst: cc.answersFirst}
+	if len(cc.ways) > 0 {
+		plan.Way, plan.Delay = cc.ways[n%len(cc.ways)], crashDelays[r.IntN(len(crashDelays))]
 	}
-	return standin.CrashBody(crashMarker, cc.ways[n%len(cc.ways)], crashDelays[r.IntN(len(crashDelays))]) + strings.Repeat("x", r.IntN(3))
+	return fmt.Sprintf("%s%02d", plan.Body(crashMarker), n) + strings.Repeat("x", r.IntN(3))
+}
+
+// crashRequest returns the n-th request under which targets crash. Turns belong to programs.
+func (cc *crashCase) crashRequest(n int, r *rand.Rand) *repeatedRequest {
+	q := &repeatedRequest{program: fmt.Sprintf("c%d", n), path: repeatablePaths[n%len(repeatablePaths)], body: cc.crashBody(n, r)}
+	if cc.outsidePrograms {
+		q.program, q.path = "", sharedPaths[n%len(sharedPaths)]
+	}
+	return q
 }
 
 // setCutOff starts or ends a partition between an entry host and all history hosts.
@@ -172,6 +189,9 @@
 // repeatablePaths are the paths of requests whose callers repeat them.
 var repeatablePaths = []string{"/turn/", "/stream/", "/look/"}
 
+// sharedPaths are the paths of requests outside of programs, which several callers may send.
+var sharedPaths = []string{"/stream/", "/look/"}
+
 func runCrashCase(t *testing.T, cc crashCase, seed uint64) *crashOutcome {
 	c := emptyCluster(t)
 	c.crashMarker, c.loseEvery = crashMarker, cc.loseEvery
@@ -197,8 +217,12 @@
 	}
 	for n := range cc.crashing {
 		r := rand.New(rand.NewPCG(seed, uint64(1000+n)))
-		q := &repeatedRequest{program: fmt.Sprintf("c%d", n), path: repeatablePaths[n%len(repeatablePaths)], body: cc.crashBody(n, r)}
-		crashing.Go(func() { k.sendRepeatedly(q, r.IntN(4), r) })
+		q := cc.crashRequest(n, r)
+		crashing.Go(func() {
+			for range cc.answersFirst + 1 {
+				k.sendRepeatedly(q, r.IntN(4), r)
+			}
+		})
 		k.mu.Lock()
 		o.requests = append(o.requests, q)
 		k.mu.Unlock()
--- a/ctl/roles/invariants_test.go
+++ b/ctl/roles/invariants_test.go
@@ -55,6 +55,8 @@
 	versionsResult  *versionsOutcome
 	// crashOutcomes are the outcomes of crashCases.
 	crashOutcomes = map[string]*crashOutcome{}
+	// sharedOutcomes are the outcomes of sharedCases.
+	sharedOutcomes = map[string]*crashOutcome{}
 	// branchOutcomes are the outcomes of runBranches, by cluster and seed.
 	branchOutcomes = map[string]*branchOutcome{}
 	// releaseOutcomes are the outcomes of releaseCases, by case and seed.
@@ -103,6 +105,11 @@
 					crashOutcomes[cc.name] = runCrashCase(t, cc, rolesSeed)
 				}
 			}
+			for _, sc := range sharedCases {
+				if selectedCase == "" || selectedCase == sc.name {
+					sharedOutcomes[sc.name] = runSharedCase(t, sc, rolesSeed)
+				}
+			}
 			for seed := rolesSeed; seed < rolesSeed+branchSeeds; seed++ {
 				if selectedCase == "" || selectedCase == branchCase {
 					branchOutcomes[fmt.Sprintf("three replicas, seed %d", seed)] = runBranches(newCluster(t), seed)
@@ -123,7 +130,7 @@
 			}
 		})
 	})
-	require.NotZero(t, len(outcomes)+len(relayOutcomes)+len(keyRemovals)+len(crashOutcomes)+len(branchOutcomes)+len(releaseOutcomes))
+	require.NotZero(t, len(outcomes)+len(relayOutcomes)+len(keyRemovals)+len(crashOutcomes)+len(sharedOutcomes)+len(branchOutcomes)+len(releaseOutcomes))
 }
 
 func runFaultCase(t *testing.T, fc faultCase) *outcome {
--- a/ctl/roles/targets_test.go
+++ b/ctl/roles/targets_test.go
@@ -28,7 +28,7 @@
 		e.ID += fmt.Sprintf(".%d", n)
 	}
 	if c.crashMarker != "" {
-		e.CrashUnder(c.crashMarker, func() { c.restartCrashedTarget(e, service, i, n) })
+		e.CrashUnder(c.crashMarker, &c.crashAnswers, func() { c.restartCrashedTarget(e, service, i, n) })
 	}
 	ip := fmt.Sprintf("10.3.%d.%d", len(service), i)
 	server := c.serve(ip, e)
--- a/ctl/standin/crash.go
+++ b/ctl/standin/crash.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/pistachioarch/pistachioarch/wire/ownheaders"
@@ -28,38 +30,67 @@
 	CrashAfterSilence CrashWay = "silence"
 )
 
-// crashSeparator is around the way and the delay in the body of a request.
+// crashSeparator is around the fields of a CrashPlan in the body of a request.
 const crashSeparator = "|"
 
-// CrashBody returns the body of a request under which engines with the marker crash in a way, delay after
-// the end of the request.
-func CrashBody(marker string, way CrashWay, delay time.Duration) string {
-	return strings.Join([]string{marker, string(way), delay.String(), ""}, crashSeparator)
+// CrashPlan says how engines crash under a request.
+type CrashPlan struct {
+	Way CrashWay
+	// Delay is the time from the end of the request to the crash.
+	Delay time.Duration
+	// AnswersFirst is the number of runs that engines answer before the first one crashes.
+	AnswersFirst int
 }
 
-// crashPlan is the way and the delay that the body of a request names.
-type crashPlan struct {
-	way   CrashWay
-	delay time.Duration
+// Body returns the body of a request under which engines with the marker crash as planned.
+func (p CrashPlan) Body(marker string) string {
+	return strings.Join([]string{marker, string(p.Way), p.Delay.String(), strconv.Itoa(p.AnswersFirst), ""}, crashSeparator)
 }
 
-// parseCrashPlan reads the plan of a body of CrashBody. Other bodies name none: CrashAtOnce.
-func parseCrashPlan(body string) crashPlan {
+// parseCrashPlan reads the plan of a body that CrashPlan.Body returned, with anything after it. Other bodies
+// name none: CrashAtOnce.
+func parseCrashPlan(body string) CrashPlan {
 	fields := strings.Split(body, crashSeparator)
-	if len(fields) < 3 {
-		return crashPlan{}
+	if len(fields) < 4 {
+		return CrashPlan{}
 	}
 	delay, err := time.ParseDuration(fields[2])
 	if err != nil {
-		return crashPlan{}
+		return CrashPlan{}
 	}
-	return crashPlan{CrashWay(fields[1]), delay}
+	answersFirst, err := strconv.Atoi(fields[3])
+	if err != nil {
+		return CrashPlan{}
+	}
+	return CrashPlan{CrashWay(fields[1]), delay, answersFirst}
+}
+
+// AnswerCounts counts the runs that engines have answered according to CrashPlan.AnswersFirst, over all engines
+// that share it. The zero value is ready to use.
+type AnswerCounts struct {
+	mu     sync.Mutex
+	byBody map[string]int
+}
+
+// take counts one more answer to the body, and reports whether it is one of the first n.
+func (c *AnswerCounts) take(body string, n int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.byBody[body] >= n {
+		return false
+	}
+	if c.byBody == nil {
+		c.byBody = map[string]int{}
+	}
+	c.byBody[body]++
+	return true
 }
 
 // crashTrigger says under which requests an engine crashes.
 type crashTrigger struct {
 	// marker is in the body of these requests; empty for none.
-	marker string
+	marker  string
+	answers *AnswerCounts
 	// onCrash ends the engine's process.
 	onCrash func()
 	crashed bool
@@ -72,11 +103,11 @@
 	return c.marker != "" && strings.Contains(body, c.marker)
 }
 
-// CrashUnder makes the engine crash under a request whose body contains marker, in the way that the body
-// names; see CrashBody. It then calls onCrash once, which closes the engine's connections and listener. It is
-// called before the engine serves.
-func (e *TurnEngine) CrashUnder(marker string, onCrash func()) {
-	e.crash.marker, e.crash.onCrash = marker, onCrash
+// CrashUnder makes the engine crash under a request whose body contains marker, as planned in the body; see
+// CrashPlan. It then calls onCrash once, which closes the engine's connections and listener. It is called
+// before the engine serves.
+func (e *TurnEngine) CrashUnder(marker string, answers *AnswerCounts, onCrash func()) {
+	e.crash.marker, e.crash.answers, e.crash.onCrash = marker, answers, onCrash
 }
 
 // Crash ends the engine with all requests that it runs, as if one of them had made it crash.
@@ -97,6 +128,13 @@
 	e.crash.onCrash()
 }
 
+// HasCrashed reports whether the engine has crashed.
+func (e *TurnEngine) HasCrashed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crash.crashed
+}
+
 // crashLater crashes the engine after a delay under a run that has ended.
 func (e *TurnEngine) crashLater(index int, delay time.Duration) {
 	e.mu.Lock()
@@ -109,16 +147,20 @@
 func (e *TurnEngine) serveCrashing(w http.ResponseWriter, r *http.Request, index int, body string) {
 	plan := parseCrashPlan(body)
 	id := r.Header.Get(ownheaders.ID)
-	switch plan.way {
+	if e.crash.answers.take(body, plan.AnswersFirst) {
+		e.answer(w, r, id)
+		return
+	}
+	switch plan.Way {
 	case CrashAfterError:
-		defer e.crashLater(index, plan.delay)
+		defer e.crashLater(index, plan.Delay)
 		w.WriteHeader(http.StatusInternalServerError)
 	case CrashAfterUnsigned:
-		defer e.crashLater(index, plan.delay)
+		defer e.crashLater(index, plan.Delay)
 		w.Header().Del(ownheaders.Signature)
 		e.answerPlain(w, r, id)
 	case CrashAfterSilence:
-		defer e.crashLater(index, plan.delay)
+		defer e.crashLater(index, plan.Delay)
 		<-r.Context().Done()
 	default:
 		e.answer(&crashingWriter{ResponseWriter: w, engine: e, index: index, plan: plan, remaining: len(body) % maxEventsBeforeCrash}, r, id)
@@ -130,7 +172,7 @@
 	http.ResponseWriter
 	engine *TurnEngine
 	index  int
-	plan   crashPlan
+	plan   CrashPlan
 	// remaining is the number of events that are still sent.
 	remaining int
 }
@@ -138,8 +180,8 @@
 // Write ends the run once the remaining events are sent.
 func (w *crashingWriter) Write(b []byte) (int, error) {
 	if w.remaining == 0 || w.Header().Get("Content-Type") != "text/event-stream" {
-		if w.plan.way == CrashAfterBreak {
-			w.engine.crashLater(w.index, w.plan.delay)
+		if w.plan.Way == CrashAfterBreak {
+			w.engine.crashLater(w.index, w.plan.Delay)
 		} else {
 			w.engine.Crash()
 		}
--- a/daemon/entry/crash_limit.go
+++ b/daemon/entry/crash_limit.go
@@ -44,6 +44,7 @@
 // targets crashed under it, one to retry if that is not known yet.
 func (x *exchange) crashLimitFailure() error {
 	if x.call.Program == "" && x.host.served.contains(x.fingerprint) {
+		x.logSendAfterCrashes(x.brokenRuns.Confirmed(), 0, true)
 		return nil
 	}
 	var waits []time.Duration
@@ -60,6 +61,7 @@
 		x.host.Meter.Count("requests", "given_up")
 		return failure.Unknown(failure.TargetCrashes, "%d targets crashed while they ran the request", ledger.MaxCrashes)
 	case crashed+open < limit:
+		x.logSendAfterCrashes(crashed, open, false)
 		return nil
 	}
 	slices.Sort(waits)
@@ -68,6 +70,17 @@
 	return failure.Retry(failure.TargetFailed, max(defaultRetryDelay, delay), "%d targets crashed while they ran the request, %d more may have", crashed, open)
 }
 
+// logSendAfterCrashes logs and counts that the request may be sent although targets crashed under it. exempt
+// reports that they are not held against it.
+func (x *exchange) logSendAfterCrashes(crashed, open int, exempt bool) {
+	if crashed == 0 {
+		return
+	}
+	x.host.Meter.Count("requests", "sent_after_crashes")
+	x.host.Log.Info("request is sent after crashes", "request", x.call.ID, "fingerprint", x.fingerprint, "program", x.call.Program,
+		"crashed", crashed, "open", open, "exempt", exempt)
+}
+
 // openRunLimit returns the number of runs, those open and those under which targets crashed, from which on the
 // request is held back.
 func (x *exchange) openRunLimit() int {
