core/ledger, daemon/entry: an answer takes back the crashes before it, at all hosts, and exempts no run after it

The reverse: what all callers send was denied for good by a host that was started anew. Cause: a host remembered that it had answered a request and never counted a crash under it again; the others never forgot one. Change: the exemption is gone. Runs have a generation: one more than the latest unanswered run, or answer, that the host knew when the run began. An answer is stored with its generation and voids what is earlier; no clock is compared. A run at a target that outlived an earlier one counts by itself (it was masked). Outside of programs three crashes of fewer than three generations are those of callers at the same time: the request is tried on, one run at a time at each host, and given up once they are three in a row. The answer also ends announcements and single sends, which went on for as long as the request was known. Why it works: what a run says of the request depends only on what was known when it began.

--- a/core/ledger/brokenrun.go
+++ b/core/ledger/brokenrun.go
@@ -1,6 +1,10 @@
 package ledger
 
-import "github.com/pistachioarch/pistachioarch/core/historypb"
+import (
+	"slices"
+
+	"github.com/pistachioarch/pistachioarch/core/historypb"
+)
 
 // MaxCrashes is the number of targets that may crash while they run one request. The request is
 // then taken for the cause and is not sent again.
@@ -12,61 +16,157 @@
 	startedAtMs int64
 }
 
-// runState is what is known of the runs of a request at one incarnation of a target.
-type runState struct {
-	end     historypb.RunEnd
-	endedMs int64
+// runRecord is the latest run of a request at an incarnation that ended in one way.
+type runRecord struct {
+	known      bool
+	generation int32
+	endedMs    int64
+}
+
+// later returns the later one of two records of runs that ended in the same way.
+func (r runRecord) later(other runRecord) runRecord {
+	switch {
+	case !r.known:
+		return other
+	case other.generation > r.generation, other.generation == r.generation && other.endedMs > r.endedMs:
+		return other
+	}
+	return r
 }
 
-// certainty orders the ends of runs: of two records of a run the more certain one holds.
-var certainty = map[historypb.RunEnd]int{
-	historypb.RunEnd_RUN_END_UNKNOWN:  0,
-	historypb.RunEnd_RUN_END_NOT_RUN:  1,
-	historypb.RunEnd_RUN_END_BROKEN:   2,
-	historypb.RunEnd_RUN_END_OUTLIVED: 3,
-	historypb.RunEnd_RUN_END_CRASHED:  4,
+// supersedes reports whether the record tells more of a run than one of a less certain end does.
+func (r runRecord) supersedes(lessCertain runRecord) bool {
+	return r.known && r.generation >= lessCertain.generation
 }
 
-// merge returns the state after another record of the run.
-func (s runState) merge(other runState) runState {
-	if certainty[other.end] > certainty[s.end] {
-		s.end = other.end
+// runState is what is known of the runs of a request at one incarnation of a target, by their end.
+type runState [historypb.RunEnd_RUN_END_ANSWERED]runRecord
+
+// end returns the most certain end of a run that counts and its record; false if none counts: each run did not begin,
+// was answered, or was outlived by the target.
+func (s *runState) end() (historypb.RunEnd, runRecord, bool) {
+	outlived, notRun := s[historypb.RunEnd_RUN_END_OUTLIVED], s[historypb.RunEnd_RUN_END_NOT_RUN]
+	if crashed := s[historypb.RunEnd_RUN_END_CRASHED]; crashed.known {
+		return historypb.RunEnd_RUN_END_CRASHED, crashed, true
+	}
+	if broken := s[historypb.RunEnd_RUN_END_BROKEN]; broken.known && !outlived.supersedes(broken) {
+		return historypb.RunEnd_RUN_END_BROKEN, broken, true
+	}
+	if unknown := s[historypb.RunEnd_RUN_END_UNKNOWN]; unknown.known && !outlived.supersedes(unknown) && !notRun.supersedes(unknown) {
+		return historypb.RunEnd_RUN_END_UNKNOWN, unknown, true
 	}
-	s.endedMs = max(s.endedMs, other.endedMs)
-	return s
+	return 0, runRecord{}, false
+}
+
+// dropBefore forgets the runs of generations before one, and reports whether any run is left.
+func (s *runState) dropBefore(generation int32) bool {
+	left := false
+	for end := range s {
+		if s[end].generation < generation {
+			s[end] = runRecord{}
+		}
+		left = left || s[end].known
+	}
+	return left
 }
 
 // BrokenRuns are the runs of one request that ended without an answer, or may have, over all its attempts and
-// merged from several replicas. The zero value is ready to use.
+// merged from several replicas. An answer takes back what is held against the runs of earlier generations, and says
+// nothing of others. The zero value is ready to use.
 type BrokenRuns struct {
-	runs map[incarnation]runState
+	runs map[incarnation]*runState
+	// answered is the latest generation in which a run was answered, 0 for none. Earlier ones are not in runs.
+	answered int32
 }
 
-// Merge adds broken runs. What is known of the end of a run supersedes what is less certain.
+// Merge adds records of runs.
 func (b *BrokenRuns) Merge(runs []*historypb.BrokenRun) {
-	if b.runs == nil && len(runs) > 0 {
-		b.runs = make(map[incarnation]runState, len(runs))
-	}
 	for _, r := range runs {
-		key := incarnation{r.Target, r.Born}
-		b.runs[key] = b.runs[key].merge(runState{r.End, r.EndedMs})
+		switch {
+		case r.End == historypb.RunEnd_RUN_END_ANSWERED:
+			b.setAnswered(r.Generation)
+		case r.End >= 0 && r.End < historypb.RunEnd_RUN_END_ANSWERED && r.Generation >= b.answered:
+			b.add(incarnation{r.Target, r.Born}, r.End, runRecord{true, r.Generation, r.EndedMs})
+		}
+	}
+}
+
+// add adds the record of a run.
+func (b *BrokenRuns) add(key incarnation, end historypb.RunEnd, r runRecord) {
+	if b.runs == nil {
+		b.runs = map[incarnation]*runState{}
+	}
+	if b.runs[key] == nil {
+		b.runs[key] = &runState{}
+	}
+	state := b.runs[key]
+	state[end] = state[end].later(r)
+}
+
+// setAnswered records that a run of the generation was answered.
+func (b *BrokenRuns) setAnswered(generation int32) {
+	if generation <= b.answered {
+		return
+	}
+	b.answered = generation
+	for key, state := range b.runs {
+		if !state.dropBefore(generation) {
+			delete(b.runs, key)
+		}
+	}
+}
+
+// has reports whether a run ended in one of the given ways, as far as is known.
+func (b *BrokenRuns) has(ends ...historypb.RunEnd) bool {
+	for _, state := range b.runs {
+		end, _, counts := state.end()
+		if counts && slices.Contains(ends, end) {
+			return true
+		}
 	}
+	return false
+}
+
+// HasUnanswered reports whether a run ended without an answer that may yet be held against the request.
+func (b *BrokenRuns) HasUnanswered() bool {
+	return b.has(historypb.RunEnd_RUN_END_BROKEN, historypb.RunEnd_RUN_END_CRASHED)
 }
 
-// Known reports whether there is any broken run.
-func (b *BrokenRuns) Known() bool { return len(b.runs) > 0 }
+// HasAnnounced reports whether a run was announced of which nothing else is known.
+func (b *BrokenRuns) HasAnnounced() bool { return b.has(historypb.RunEnd_RUN_END_UNKNOWN) }
+
+// NextGeneration returns the generation of a run that begins now.
+func (b *BrokenRuns) NextGeneration() int32 {
+	last := b.answered
+	for _, state := range b.runs {
+		last = max(last, state[historypb.RunEnd_RUN_END_BROKEN].generation, state[historypb.RunEnd_RUN_END_CRASHED].generation)
+	}
+	return last + 1
+}
 
 // Confirmed returns the number of targets that were found to have crashed.
 func (b *BrokenRuns) Confirmed() int {
 	count := 0
-	for _, run := range b.runs {
-		if run.end == historypb.RunEnd_RUN_END_CRASHED {
+	for _, state := range b.runs {
+		if state[historypb.RunEnd_RUN_END_CRASHED].known {
 			count++
 		}
 	}
 	return count
 }
 
+// CrashGenerations returns the number of generations of the runs under which targets crashed: how many of these runs
+// began one after the other, as opposed to runs of several callers at the same time.
+func (b *BrokenRuns) CrashGenerations() int {
+	generations := map[int32]bool{}
+	for _, state := range b.runs {
+		if crashed := state[historypb.RunEnd_RUN_END_CRASHED]; crashed.known {
+			generations[crashed.generation] = true
+		}
+	}
+	return len(generations)
+}
+
 // Judgement is what is known by now of a run whose record does not tell what became of its target.
 type Judgement int
 
@@ -103,24 +203,31 @@
 // undecided returns the runs of which it is not known what became of their targets, in no order.
 func (b *BrokenRuns) undecided() []*historypb.BrokenRun {
 	var list []*historypb.BrokenRun
-	for key, run := range b.runs {
-		if run.end == historypb.RunEnd_RUN_END_UNKNOWN || run.end == historypb.RunEnd_RUN_END_BROKEN {
-			list = append(list, key.record("", run))
+	for key, state := range b.runs {
+		if end, run, counts := state.end(); counts && end != historypb.RunEnd_RUN_END_CRASHED {
+			list = append(list, key.record("", end, run))
 		}
 	}
 	return list
 }
 
-// record returns the record of a request's runs at the incarnation.
-func (i incarnation) record(request string, s runState) *historypb.BrokenRun {
-	return &historypb.BrokenRun{Request: request, Target: i.target, Born: i.startedAtMs, End: s.end, EndedMs: s.endedMs}
+// record returns the record of a request's run at the incarnation.
+func (i incarnation) record(request string, end historypb.RunEnd, r runRecord) *historypb.BrokenRun {
+	return &historypb.BrokenRun{Request: request, Target: i.target, Born: i.startedAtMs, End: end, EndedMs: r.endedMs, Generation: r.generation}
 }
 
-// records returns the broken runs as records of a request, in no order.
+// records returns what is known of the runs as records of a request, in no order.
 func (b *BrokenRuns) records(request string) []*historypb.BrokenRun {
-	list := make([]*historypb.BrokenRun, 0, len(b.runs))
-	for key, run := range b.runs {
-		list = append(list, key.record(request, run))
+	list := make([]*historypb.BrokenRun, 0, len(b.runs)+1)
+	for key, state := range b.runs {
+		for end, run := range state {
+			if run.known {
+				list = append(list, key.record(request, historypb.RunEnd(end), run))
+			}
+		}
+	}
+	if b.answered > 0 {
+		list = append(list, &historypb.BrokenRun{Request: request, End: historypb.RunEnd_RUN_END_ANSWERED, Generation: b.answered})
 	}
 	return list
 }
@@ -128,8 +235,9 @@
 // digest returns a hash of the broken runs of a request that does not depend on their order.
 func (b *BrokenRuns) digest(request string) uint64 {
 	sum := uint64(0)
-	for key, run := range b.runs {
-		sum += mix(hashString(request) ^ mix(hashString(key.target)+uint64(run.end)) ^ uint64(key.startedAtMs))
+	for _, r := range b.records(request) {
+		state := uint64(r.End) + uint64(r.Generation)<<8
+		sum += mix(hashString(request) ^ mix(hashString(r.Target)+state) ^ uint64(r.Born))
 	}
 	return sum
 }
--- a/core/ledger/brokenrun_test.go
+++ b/core/ledger/brokenrun_test.go
@@ -15,6 +15,7 @@
 	broken   = historypb.RunEnd_RUN_END_BROKEN
 	outlived = historypb.RunEnd_RUN_END_OUTLIVED
 	crashed  = historypb.RunEnd_RUN_END_CRASHED
+	answered = historypb.RunEnd_RUN_END_ANSWERED
 )
 
 func brokenRun(request, target string, startedAtMs int64, end historypb.RunEnd) *historypb.Record {
@@ -96,3 +97,56 @@
 	require.NotEqual(t, digest(brokenRun("r", "a", 1, crashed)), digest(brokenRun("r", "a", 2, crashed)))
 	require.NotEqual(t, digest(brokenRun("r", "a", 1, crashed)), digest(brokenRun("s", "a", 1, crashed)))
 }
+
+// Replicas must agree on what an answer takes back in any order of the records: the runs of earlier generations, and
+// no other ones.
+func TestAnswerTakesBackEarlierGenerations(t *testing.T) {
+	records := []*historypb.BrokenRun{
+		{Target: "a", End: crashed, Generation: 1}, {Target: "b", End: broken, Generation: 1, EndedMs: 9}, {Target: "b", End: broken, Generation: 2, EndedMs: 7},
+		{Target: "c", End: unknown, Generation: 1}, {Target: "d", End: crashed, Generation: 2}, {Target: "d", End: notRun, Generation: 3},
+		{End: answered, Generation: 1}, {End: answered, Generation: 2}, {Target: "e", End: outlived, Generation: 2}, {Target: "e", End: broken, Generation: 3},
+	}
+	rng := rand.New(rand.NewPCG(7, 8))
+	for range 200 {
+		b := &BrokenRuns{}
+		for _, i := range rng.Perm(len(records)) {
+			b.Merge(records[i : i+1])
+		}
+		require.Equal(t, 1, b.Confirmed(), "target d")
+		require.Len(t, b.runs, 3)
+		require.EqualValues(t, 7, b.runs[incarnation{"b", 0}][broken].endedMs)
+		require.Equal(t, [2]int{3, 0}, count(b, func(*historypb.BrokenRun) Judgement { return Crashed }), "targets b and e")
+		require.EqualValues(t, 4, b.NextGeneration())
+		replica := &BrokenRuns{}
+		replica.Merge(b.records("r"))
+		require.Equal(t, b.digest("r"), replica.digest("r"))
+	}
+}
+
+// A run at a target that outlived an earlier run of the request must count by itself.
+func TestLaterRunAtSameTargetCounts(t *testing.T) {
+	b := &BrokenRuns{}
+	b.Merge([]*historypb.BrokenRun{{Target: "a", End: unknown, Generation: 1}, {Target: "a", End: outlived, Generation: 1}})
+	require.False(t, b.HasAnnounced())
+	b.Merge([]*historypb.BrokenRun{{Target: "a", End: unknown, Generation: 2}})
+	require.True(t, b.HasAnnounced())
+	b.Merge([]*historypb.BrokenRun{{Target: "a", End: broken, Generation: 2}})
+	require.True(t, b.HasUnanswered())
+	b.Merge([]*historypb.BrokenRun{{Target: "a", End: outlived, Generation: 2}})
+	require.False(t, b.HasUnanswered())
+}
+
+// Runs that crashed at the same time are of one generation, those that began one after the other are not.
+func TestGenerationsTellRunsInARowFromRunsAtOnce(t *testing.T) {
+	b := &BrokenRuns{}
+	require.EqualValues(t, 1, b.NextGeneration())
+	for _, target := range []string{"a", "b", "c"} {
+		b.Merge([]*historypb.BrokenRun{{Target: target, End: crashed, Generation: 1}})
+	}
+	require.Equal(t, 1, b.CrashGenerations())
+	b.Merge([]*historypb.BrokenRun{{Target: "d", End: broken, Generation: b.NextGeneration()}})
+	require.Equal(t, 1, b.CrashGenerations(), "not known to have crashed")
+	require.EqualValues(t, 3, b.NextGeneration())
+	b.Merge([]*historypb.BrokenRun{{Target: "d", End: crashed, Generation: 2}, {Target: "a", End: unknown, Generation: 3}, {Target: "a", End: notRun, Generation: 3}})
+	require.Equal(t, 2, b.CrashGenerations(), "target a was gone when the request was sent there again")
+}
--- a/daemon/entry/announce.go
+++ b/daemon/entry/announce.go
@@ -41,18 +41,10 @@
 	if !x.limitsCrashes() {
 		return false
 	}
-	return x.brokenRuns.Known() || x.call.Program != "" && x.host.lastCrashes.isWithin(x.service, announceWindow)
+	return x.isSuspect() || x.call.Program != "" && x.host.lastCrashes.isWithin(x.service, announceWindow)
 }
 
-// endAnnouncements stores that the request has been answered, if runs of it were announced. The program may
-// make the same call again; a turn is made once.
-func (x *exchange) endAnnouncements() {
-	if len(x.announced) == 0 || x.isTurn() {
-		return
-	}
-	var runs []*historypb.BrokenRun
-	for _, t := range x.announced {
-		runs = append(runs, x.newBrokenRunRecord(t, historypb.RunEnd_RUN_END_OUTLIVED))
-	}
-	x.host.storeBrokenRunsLater(x.recordProgram(), x.retention(), runs...)
+// isSuspect reports whether a run of the request ended without an answer, or may have, and none was answered since.
+func (x *exchange) isSuspect() bool {
+	return x.brokenRuns.HasUnanswered() || x.call.Program != "" && x.brokenRuns.HasAnnounced()
 }
--- a/daemon/entry/broken_run.go
+++ b/daemon/entry/broken_run.go
@@ -56,7 +56,7 @@
 
 // newBrokenRunRecord returns the record of a run of the request.
 func (x *exchange) newBrokenRunRecord(t targetStart, end historypb.RunEnd) *historypb.BrokenRun {
-	return &historypb.BrokenRun{Request: x.fingerprint, Target: t.id, Born: t.startedAtMs, End: end}
+	return &historypb.BrokenRun{Request: x.fingerprint, Target: t.id, Born: t.startedAtMs, End: end, Generation: x.generations[t]}
 }
 
 // endOf finds out whether the target of a run has crashed, and logs and counts the run. A target that
@@ -70,7 +70,7 @@
 		h.lastCrashes.record(x.service)
 		h.Meter.Count("runs", "crashed")
 	} else if x.limitsCrashes() {
-		x.ownWatches = append(x.ownWatches, x.watchRun(startOf(run.target), run.reason, time.Now()))
+		x.ownWatches = append(x.ownWatches, x.watchRun(startOf(run.target), x.generations[startOf(run.target)], run.reason, time.Now()))
 	}
 	h.Log.Info("run broken off", "request", x.call.ID, "fingerprint", x.fingerprint, "program", x.call.Program, "route", x.route.Name,
 		"target", run.target.ID, "crashed", end == historypb.RunEnd_RUN_END_CRASHED, "sends", x.sendCount, "reason", run.reason)
@@ -79,9 +79,9 @@
 
 // watchRun watches the target of a run that ended without an answer at endedAt, and returns the watch, an
 // earlier one if there is one.
-func (x *exchange) watchRun(target targetStart, reason string, endedAt time.Time) *runWatch {
+func (x *exchange) watchRun(target targetStart, generation int32, reason string, endedAt time.Time) *runWatch {
 	w, isNew := x.host.runWatches.add(&runWatch{
-		runKey: runKey{x.fingerprint, target}, request: x.call.ID, service: x.service, reason: reason,
+		runKey: runKey{x.fingerprint, target}, generation: generation, request: x.call.ID, service: x.service, reason: reason,
 		program: x.recordProgram(), retention: x.retention(),
 		endedAt: endedAt, news: make(chan struct{}, 1), end: historypb.RunEnd_RUN_END_BROKEN,
 	})
@@ -91,9 +91,22 @@
 	return w
 }
 
-// forgetBrokenRuns ends the watches of an answered request: it is not sent again.
+// forgetBrokenRuns ends the watches of an answered request: what its runs did before does not count any more.
 func (x *exchange) forgetBrokenRuns() {
 	for _, w := range x.ownWatches {
 		w.answered.Store(true)
 	}
 }
+
+// recordAnswered stores that the request has been answered, if runs of it were announced or ended without an answer
+// before. Its program may make the same call again, or other callers the same request; a turn is made once.
+func (x *exchange) recordAnswered() {
+	if x.isTurn() || len(x.announced) == 0 && !x.brokenRuns.HasUnanswered() {
+		return
+	}
+	runs := []*historypb.BrokenRun{{Request: x.fingerprint, End: historypb.RunEnd_RUN_END_ANSWERED, Generation: x.brokenRuns.NextGeneration()}}
+	for _, t := range x.announced {
+		runs = append(runs, x.newBrokenRunRecord(t, historypb.RunEnd_RUN_END_OUTLIVED))
+	}
+	x.host.storeBrokenRunsLater(x.recordProgram(), x.retention(), runs...)
+}
--- a/daemon/entry/crash_limit.go
+++ b/daemon/entry/crash_limit.go
@@ -43,25 +43,29 @@
 // crashLimitFailure returns the failure of a request that must not be sent, else nil: a final one if too many
 // targets crashed under it, one to retry if that is not known yet.
 func (x *exchange) crashLimitFailure() error {
-	if x.call.Program == "" && x.host.served.contains(x.fingerprint) {
-		x.logSendAfterCrashes(x.brokenRuns.Confirmed(), 0, true)
-		return nil
-	}
 	var waits []time.Duration
+	var found []*historypb.BrokenRun
 	crashed, open := x.brokenRuns.Count(func(run *historypb.BrokenRun) ledger.Judgement {
 		judgement, openFor := x.judge(run)
-		if judgement == ledger.MayCrash {
+		switch judgement {
+		case ledger.MayCrash:
 			waits = append(waits, openFor)
+		case ledger.Crashed:
+			run.End = historypb.RunEnd_RUN_END_CRASHED
+			found = append(found, run)
 		}
 		return judgement
 	})
+	x.brokenRuns.Merge(found)
 	limit := x.openRunLimit()
 	switch {
+	case crashed >= ledger.MaxCrashes && x.mayRunBesideOthers():
+		return x.beginTrial(crashed)
 	case crashed >= ledger.MaxCrashes:
 		x.host.Meter.Count("requests", "given_up")
 		return failure.Unknown(failure.TargetCrashes, "%d targets crashed while they ran the request", ledger.MaxCrashes)
 	case crashed+open < limit:
-		x.logSendAfterCrashes(crashed, open, false)
+		x.logSendAfterCrashes(crashed, open)
 		return nil
 	}
 	slices.Sort(waits)
@@ -70,15 +74,14 @@
 	return failure.Retry(failure.TargetFailed, max(defaultRetryDelay, delay), "%d targets crashed while they ran the request, %d more may have", crashed, open)
 }
 
-// logSendAfterCrashes logs and counts that the request may be sent although targets crashed under it. exempt
-// reports that they are not held against it.
-func (x *exchange) logSendAfterCrashes(crashed, open int, exempt bool) {
+// logSendAfterCrashes logs and counts that the request may be sent although targets crashed under it.
+func (x *exchange) logSendAfterCrashes(crashed, open int) {
 	if crashed == 0 {
 		return
 	}
 	x.host.Meter.Count("requests", "sent_after_crashes")
 	x.host.Log.Info("request is sent after crashes", "request", x.call.ID, "fingerprint", x.fingerprint, "program", x.call.Program,
-		"crashed", crashed, "open", open, "exempt", exempt)
+		"crashed", crashed, "open", open, "generations", x.brokenRuns.CrashGenerations(), "trial", x.onTrial)
 }
 
 // openRunLimit returns the number of runs, those open and those under which targets crashed, from which on the
@@ -98,7 +101,7 @@
 	if announced && x.host.fateOf(target) != fateCrashed {
 		return ledger.NotCrashed, 0
 	}
-	w := x.watchRun(target, "run at another host", x.host.endedAt(run))
+	w := x.watchRun(target, run.Generation, "run at another host", x.host.endedAt(run))
 	switch x.host.examine(w, false) {
 	case historypb.RunEnd_RUN_END_CRASHED:
 		return ledger.Crashed, 0
--- a/daemon/entry/handle.go
+++ b/daemon/entry/handle.go
@@ -36,6 +36,10 @@
 	brokenRuns    ledger.BrokenRuns
 	// announced are the targets at which runs were announced.
 	announced []targetStart
+	// generations are the generations of this attempt's runs.
+	generations map[targetStart]int32
+	// onTrial is set if this attempt is the only one of the request that may run at this host.
+	onTrial bool
 	// ownWatches are the watches of runs of this attempt.
 	ownWatches []*runWatch
 	// held accounts for the memory that the host holds for the request.
@@ -84,7 +88,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{host: h, w: w, r: r, startedAt: time.Now(), tried: map[string]bool{}}
+	x := &exchange{host: h, w: w, r: r, startedAt: time.Now(), tried: map[string]bool{}, generations: map[targetStart]int32{}}
 	if c := callerConnOf(r); c != nil {
 		c.markHeadRead()
 	}
@@ -99,6 +103,7 @@
 		return
 	}
 	defer x.held.closeAccount(r)
+	defer x.endTrial()
 	if err := x.serve(); err != nil {
 		x.fail(failure.From(err))
 		return
@@ -126,13 +131,10 @@
 		"first_ms", firstByteAfter.Milliseconds(), "after_ms", time.Since(x.startedAt).Milliseconds(), "events", events)
 }
 
-// recordServed notes that no target crashes under the request.
+// recordServed notes that a target answered the request.
 func (x *exchange) recordServed() {
 	x.forgetBrokenRuns()
-	x.endAnnouncements()
-	if x.call.Program == "" {
-		x.host.served.add(x.fingerprint)
-	}
+	x.recordAnswered()
 }
 
 // serve reads, authorises and forwards the request.
--- a/daemon/entry/hedge.go
+++ b/daemon/entry/hedge.go
@@ -35,7 +35,7 @@
 // target at a time.
 func (x *exchange) hedgeDelay() (time.Duration, bool) {
 	hedgeable := x.route.Kind == routing.Idempotent && x.call.PromptTokens == 0
-	if !hedgeable || x.capacityWait.waited > 0 || x.sendCount+2 > x.route.MaxAttempts || x.brokenRuns.Known() {
+	if !hedgeable || x.capacityWait.waited > 0 || x.sendCount+2 > x.route.MaxAttempts || x.isSuspect() {
 		return 0, false
 	}
 	h := x.host
@@ -135,6 +135,7 @@
 		h.Log.Info("call not sent a second time", "request", x.call.ID, "target", first.ID, "error", err.Error())
 		return balance.TargetInfo{}, false
 	}
+	x.generations[startOf(second)]++              // as if the first send had ended: it is the same caller's
 	if err := x.announceRun(second); err != nil { // no run of a hedged call has crashed a target before
 		h.Log.Warn("second send not announced", "request", x.call.ID, "error", err.Error())
 	}
--- a/daemon/entry/host.go
+++ b/daemon/entry/host.go
@@ -89,7 +89,7 @@
 	departures      departures
 	lastCrashes     lastCrashes
 	runWatches      *runWatches
-	served          servedRequests
+	trials          trials
 	// brokenRunTimeouts are the constants of these names.
 	brokenRunTimeouts brokenRunTimeouts
 	startedAt         time.Time
--- a/daemon/entry/run_watch.go
+++ b/daemon/entry/run_watch.go
@@ -29,6 +29,7 @@
 // runWatch is a run without an answer whose target served on right after it.
 type runWatch struct {
 	runKey
+	generation               int32
 	request, service, reason string
 	// program is the name under which the run is stored, for retention.
 	program   string
@@ -154,6 +155,6 @@
 			"after_ms", time.Since(w.endedAt).Milliseconds(), "reason", w.reason)
 	}
 	if !w.answered.Load() {
-		h.storeBrokenRunsLater(w.program, w.retention, &historypb.BrokenRun{Request: w.fingerprint, Target: w.target.id, Born: w.target.startedAtMs, End: end})
+		h.storeBrokenRunsLater(w.program, w.retention, &historypb.BrokenRun{Request: w.fingerprint, Target: w.target.id, Born: w.target.startedAtMs, End: end, Generation: w.generation})
 	}
 }
