daemon/entry: a stream of unknown version goes on only where the list of targets is known to be the newest

Cause: the host knew for how long it had heard of one version only, not how lately it had heard at all. Change: the list of targets has an instant as of which it was the newest; a stream of unknown version needs one not before its arrival, else the host asks the platform and refuses after 0.3 s. Also: no lone version in a subset of the targets or across a gap between two lists, and no wait for any target at a host without targets. Why it works: a target is listed before a stream can begin there, so a list as of the arrival names its version. Tests red before: TestStreamsAreNotJoinedAtHostWithOutdatedList (first case), four of TestTakenUpStreamOfUnknownVersionNeedsNewestList, TestHostThatMayHaveMissedVersionsHasNoLoneVersion.

--- a/core/balance/affinity.go
+++ b/core/balance/affinity.go
@@ -67,6 +67,12 @@
 	clear(r.affinityByPart)
 }
 
+// HoldsAll reports whether the host holds all targets of a service, and not only a subset.
+func (r *Registry) HoldsAll(service string) bool {
+	near, far := subset.Group{Service: service, DataCentre: r.dataCentre}, subset.Group{Service: service}
+	return subset.HoldsAll(r.halvings, r.dataCentre, near) && subset.HoldsAll(r.halvings, r.dataCentre, far)
+}
+
 // affinityPool returns the targets from which affinity targets are chosen: all targets of a data
 // centre of which hosts hold all, and of others the first ones in an order that is the same at all
 // hosts.
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -254,6 +254,9 @@
 	return versions
 }
 
+// HasTargets reports whether a service has targets.
+func (r *Registry) HasTargets(service string) bool { return len(r.serviceNamed(service).targets) > 0 }
+
 // Services returns the names of the services that have or had targets, in no order.
 func (r *Registry) Services() []string { return slices.Collect(maps.Keys(r.services)) }
 
--- a/ctl/roles/cluster_test.go
+++ b/ctl/roles/cluster_test.go
@@ -318,12 +318,15 @@
 	e.dialer = dialer
 	e.historyClient = quorum.New(dialer, c.dataCentre(e.name), logger(), nil)
 	e.historyClient.SetSeeds(c.seeds)
+	store := c.store.ViewFrom(e.ip)
 	e.host = entry.New(entry.Options{
 		Headers: ownheaders.Headers{}, History: e.historyClient, Dialer: dialer, DataCentre: c.dataCentre(e.name), ReadyPath: "/ready", Log: logger(),
 		KeyRules: c.keyRules(), QuotaTolerance: quotaTolerance,
+		ReadTargetChanges: func(ctx context.Context, revision uint64) (objects.Changes, error) {
+			return store.Watch(ctx, targetKind, revision, 0)
+		},
 	})
 	e.stop = cancel
-	store := c.store.ViewFrom(e.ip)
 	source := func() *relay.Source {
 		return relay.NewSource(e.name, store, e.historyClient.AssignedPeers(), logger()).WithStartTimeout(relay.MembersStartTimeout)
 	}
--- a/ctl/roles/invariants_test.go
+++ b/ctl/roles/invariants_test.go
@@ -55,6 +55,8 @@
 	versionsResult  *versionsOutcome
 	// crashOutcomes are the outcomes of crashCases.
 	crashOutcomes = map[string]*crashOutcome{}
+	// outdatedListOutcomes are the outcomes of outdatedListCases.
+	outdatedListOutcomes = map[string]*versionsOutcome{}
 	// sharedOutcomes are the outcomes of sharedCases.
 	sharedOutcomes = map[string]*crashOutcome{}
 	// branchOutcomes are the outcomes of runBranches, by cluster and seed.
@@ -121,6 +123,11 @@
 					runReleaseCase(t, rc)
 				}
 			}
+			for _, oc := range outdatedListCases {
+				if selectedCase == "" || selectedCase == oc.name {
+					outdatedListOutcomes[oc.name] = runOutdatedList(t, oc)
+				}
+			}
 			if selectedCase == "" {
 				membersWithoutSlots = findMembersWithoutSlots(t)
 				largeStart = startManyHistoryHosts(t)
@@ -130,7 +137,7 @@
 			}
 		})
 	})
-	require.NotZero(t, len(outcomes)+len(relayOutcomes)+len(keyRemovals)+len(crashOutcomes)+len(sharedOutcomes)+len(branchOutcomes)+len(releaseOutcomes))
+	require.NotZero(t, len(outcomes)+len(relayOutcomes)+len(keyRemovals)+len(crashOutcomes)+len(outdatedListOutcomes)+len(sharedOutcomes)+len(branchOutcomes)+len(releaseOutcomes))
 }
 
 func runFaultCase(t *testing.T, fc faultCase) *outcome {
--- a/daemon/cmd/pistachiod/entry.go
+++ b/daemon/cmd/pistachiod/entry.go
@@ -22,11 +22,15 @@
 	dialer := peerDialer()
 	historyClient := quorum.New(dialer, set.DataCentre, logger, o.meter)
 	historyClient.SetSeeds(set.Seeds)
+	store := meter.CountStoreCalls(platform.NewStore(set.PlatformAddress, logger), o.meter)
 	host := entry.New(entry.Options{
 		Headers: platform.Headers{}, History: historyClient, Dialer: dialer,
 		DataCentre: set.DataCentre, Regions: set.Regions, MemoryBytes: set.MemoryBytes, Descriptors: set.Descriptors,
-		KeyRules:            entry.KeyRules{MaxAge: set.KeyMaxAge(), UnknownKeyMaxAge: set.UnknownKeyMaxAge()},
-		QuotaTolerance:      quota.Tolerance{Window: set.QuotaWindow, Overage: set.QuotaOverage, Slack: set.QuotaSlack},
+		KeyRules:       entry.KeyRules{MaxAge: set.KeyMaxAge(), UnknownKeyMaxAge: set.UnknownKeyMaxAge()},
+		QuotaTolerance: quota.Tolerance{Window: set.QuotaWindow, Overage: set.QuotaOverage, Slack: set.QuotaSlack},
+		ReadTargetChanges: func(ctx context.Context, revision uint64) (objects.Changes, error) {
+			return store.Watch(ctx, platform.TargetKind, revision, 0)
+		},
 		DisableLoadExchange: !set.ExchangesLoads(),
 		ReadyPath:           platform.ReadyPath, Log: logger, Meter: o.meter,
 	})
@@ -40,7 +44,6 @@
 	}
 	hostCtx, stop := context.WithCancel(context.Background())
 	defer stop()
-	store := meter.CountStoreCalls(platform.NewStore(set.PlatformAddress, logger), o.meter)
 	sources := platformFollower{set, store, historyClient, logger}.start(hostCtx, host)
 	o.state = func() any { return entryState{host.State(), relaysOf(sources)} }
 	o.serve(hostCtx, set.MetricsListen())
--- a/daemon/entry/confirm.go
+++ b/daemon/entry/confirm.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,25 +19,51 @@
 	UnknownKeyMaxAge time.Duration
 }
 
-// confirmConfig records that the current configuration was the newest at the instant asOf; a
-// zero asOf is ignored.
-func (h *Host) confirmConfig(asOf time.Time) {
-	if asOf.IsZero() {
-		return
-	}
-	confirmedAt := int64(asOf.Sub(h.startedAt))
+// confirmation is the latest instant at which what a host holds of the platform is known to have been the newest.
+type confirmation struct {
+	// at is that instant, in nanoseconds of Host.now.
+	at atomic.Int64
+	// news wakes those who wait for a later one.
+	news broadcast
+}
+
+// confirm records a confirmation as of an instant of Host.now.
+func (c *confirmation) confirm(at time.Duration) {
 	for {
-		old := h.confirmedAt.Load()
-		if old >= confirmedAt {
+		old := c.at.Load()
+		if old >= int64(at) {
 			return
 		}
-		if h.confirmedAt.CompareAndSwap(old, confirmedAt) {
-			h.configConfirmed.notify()
+		if c.at.CompareAndSwap(old, int64(at)) {
+			c.news.notify()
 			return
 		}
 	}
 }
 
+// isSince reports whether there was a confirmation as of an instant or later.
+func (c *confirmation) isSince(at time.Duration) bool { return c.at.Load() >= int64(at) }
+
+// awaitSince waits for a confirmation as of an instant or later, and reports whether there is one.
+func (c *confirmation) awaitSince(ctx context.Context, at time.Duration) bool {
+	for news := c.news.subscribe(); !c.isSince(at); news = c.news.subscribe() {
+		select {
+		case <-news:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
+// confirmConfig records that the current configuration was the newest at the instant asOf; a
+// zero asOf is ignored.
+func (h *Host) confirmConfig(asOf time.Time) {
+	if !asOf.IsZero() {
+		h.configConfirmed.confirm(h.sinceStart(asOf))
+	}
+}
+
 // broadcast wakes all its subscribers at once. Its zero value is ready for use.
 type broadcast struct {
 	mu   sync.Mutex
@@ -63,13 +90,13 @@
 	}
 }
 
-// neverConfirmed is the value of confirmedAt before the first confirmation.
+// neverConfirmed is the instant of a confirmation before the first one.
 const neverConfirmed = -1 << 62
 
 // confirmedAge returns the time since the current configuration was last known to be the
 // newest.
 func (h *Host) confirmedAge() time.Duration {
-	return h.now() - time.Duration(h.confirmedAt.Load())
+	return h.now() - time.Duration(h.configConfirmed.at.Load())
 }
 
 // staleFor returns how long the configuration has been too old to serve requests with a key; 0
@@ -117,7 +144,7 @@
 	startedAt := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, min(maxConfirmWait, time.Until(x.deadline)/confirmWaitDivisor))
 	defer cancel()
-	for confirmation := h.configConfirmed.subscribe(); h.staleFor() > 0; confirmation = h.configConfirmed.subscribe() {
+	for confirmation := h.configConfirmed.news.subscribe(); h.staleFor() > 0; confirmation = h.configConfirmed.news.subscribe() {
 		select {
 		case <-confirmation:
 		case <-ctx.Done():
--- a/daemon/entry/customer_test.go
+++ b/daemon/entry/customer_test.go
@@ -101,7 +101,7 @@
 	s := newSystem(t, x)
 	s.host.KeyRules = KeyRules{MaxAge: time.Hour, UnknownKeyMaxAge: time.Minute}
 	s.requireKeys(customer("a"))
-	s.host.confirmedAt.Store(int64(s.host.now() - 2*time.Hour))
+	s.host.configConfirmed.at.Store(int64(s.host.now() - 2*time.Hour))
 	require.False(t, s.host.Ready())
 	got := s.post("/plain/", "", ownheaders.ID, "1", ownheaders.Key, "a-key")
 	require.Equal(t, http.StatusServiceUnavailable, got.status)
@@ -118,7 +118,7 @@
 	s := newSystem(t, newFakeTarget(t, "t1", answerOK))
 	s.host.KeyRules = KeyRules{MaxAge: time.Hour, UnknownKeyMaxAge: time.Minute}
 	s.requireKeys(customer("a"))
-	s.host.confirmedAt.Store(int64(s.host.now() - 2*time.Minute))
+	s.host.configConfirmed.at.Store(int64(s.host.now() - 2*time.Minute))
 	require.Equal(t, http.StatusServiceUnavailable, s.post("/plain/", "", ownheaders.ID, "1", ownheaders.Key, "b-key").status)
 	require.Equal(t, http.StatusOK, s.post("/plain/", "", ownheaders.ID, "2", ownheaders.Key, "a-key").status)
 }
@@ -130,7 +130,7 @@
 	s := newSystem(t, x)
 	s.host.KeyRules = KeyRules{MaxAge: time.Hour, UnknownKeyMaxAge: time.Minute}
 	s.requireKeys(customer("a"))
-	s.host.confirmedAt.Store(int64(s.host.now() - 2*time.Hour))
+	s.host.configConfirmed.at.Store(int64(s.host.now() - 2*time.Hour))
 	answers := make(chan answer)
 	go func() { answers <- s.post("/plain/", "", ownheaders.ID, "1", ownheaders.Key, "a-key") }()
 	require.Eventually(t, func() bool { return s.host.activeRequests() == 1 }, time.Second, time.Millisecond)
@@ -142,10 +142,10 @@
 	s := newSystem(t)
 	now := time.Now()
 	s.host.confirmConfig(now)
-	at := s.host.confirmedAt.Load()
+	at := s.host.configConfirmed.at.Load()
 	s.host.confirmConfig(now.Add(-time.Second))
 	s.host.confirmConfig(time.Time{})
-	require.Equal(t, at, s.host.confirmedAt.Load())
+	require.Equal(t, at, s.host.configConfirmed.at.Load())
 }
 
 func TestTurnsAreScopedToCustomer(t *testing.T) {
--- a/daemon/entry/host.go
+++ b/daemon/entry/host.go
@@ -20,6 +20,7 @@
 	"github.com/pistachioarch/pistachioarch/core/routing"
 	"github.com/pistachioarch/pistachioarch/daemon/meter"
 	"github.com/pistachioarch/pistachioarch/daemon/quorum"
+	"github.com/pistachioarch/pistachioarch/wire/objects"
 	"github.com/pistachioarch/pistachioarch/wire/targetpool"
 )
 
@@ -57,6 +58,9 @@
 	KeyRules KeyRules
 	// QuotaTolerance is how far customers may exceed their quotas.
 	QuotaTolerance quota.Tolerance
+	// ReadTargetChanges reads from the platform itself, at once, what has changed in the list of targets since a
+	// revision; nil if the list is only followed.
+	ReadTargetChanges func(ctx context.Context, revision uint64) (objects.Changes, error)
 	// DisableLoadExchange turns off the exchange of target loads with other entry hosts.
 	DisableLoadExchange bool
 	// ReadyPath is the URL path of the readiness check of the platform.
@@ -74,22 +78,20 @@
 	configured chan struct{}
 	// configuredAt is when the current table was set, in nanoseconds of now.
 	configuredAt atomic.Int64
-	// confirmedAt is the latest instant at which the current table is known to have been the
-	// newest, in nanoseconds of now.
-	confirmedAt atomic.Int64
+	// configConfirmed is when the current table is known to have been the newest.
+	configConfirmed confirmation
 	// configLost is set while neither a relay nor the platform answers requests for the configuration.
-	configLost atomic.Bool
-	// configConfirmed wakes requests that wait for a confirmation.
-	configConfirmed broadcast
-	server          atomic.Pointer[http.Server]
-	listener        net.Listener
-	pool            *targetpool.Pool
-	targetBytes     targetByteCounters
-	reachability    *reachabilityMonitor
-	departures      departures
-	lastCrashes     lastCrashes
-	runWatches      *runWatches
-	trials          trials
+	configLost   atomic.Bool
+	targetList   targetList
+	server       atomic.Pointer[http.Server]
+	listener     net.Listener
+	pool         *targetpool.Pool
+	targetBytes  targetByteCounters
+	reachability *reachabilityMonitor
+	departures   departures
+	lastCrashes  lastCrashes
+	runWatches   *runWatches
+	trials       trials
 	// brokenRunTimeouts are the constants of these names.
 	brokenRunTimeouts brokenRunTimeouts
 	startedAt         time.Time
@@ -131,7 +133,9 @@
 	}
 	h.lifetime, h.end = context.WithCancel(context.Background())
 	h.memory = newMemoryAccount(h)
-	h.confirmedAt.Store(neverConfirmed)
+	h.configConfirmed.at.Store(neverConfirmed)
+	h.targetList.confirmed.at.Store(neverConfirmed)
+	h.targetList.checking = make(chan struct{}, 1)
 	h.reachability = newReachabilityMonitor(h)
 	h.loadExchanger = newLoadExchanger(h)
 	h.registerGauges()
@@ -144,6 +148,9 @@
 // now returns the monotonic time since the host was created.
 func (h *Host) now() time.Duration { return time.Since(h.startedAt) }
 
+// sinceStart returns an instant as one of now.
+func (h *Host) sinceStart(t time.Time) time.Duration { return t.Sub(h.startedAt) }
+
 // Defaults of the limits that a configuration can set.
 const (
 	defaultHeaderBytes   = 16 << 10
--- a/daemon/entry/software_version.go
+++ b/daemon/entry/software_version.go
@@ -53,7 +53,7 @@
 func (x *exchange) bindStreamOutsideProgram(ctx context.Context) error {
 	x.bindNewStream()
 	if x.continuesStream() {
-		if err := x.bindTakenUpStream(x.readStreamUsage(ctx)); err != nil {
+		if err := x.bindTakenUpStream(ctx, x.readStreamUsage(ctx)); err != nil {
 			return err
 		}
 	}
@@ -80,23 +80,31 @@
 // bindTakenUpStream binds a stream that the caller takes up to the software version of the attempt
 // that began it. usage is what the attempts have stored. It fails if the version is not known and may be
 // another one than that of the listed targets.
-func (x *exchange) bindTakenUpStream(usage *ledger.Usage) error {
+func (x *exchange) bindTakenUpStream(ctx context.Context, usage *ledger.Usage) error {
 	if !x.continuesStream() {
 		return nil
 	}
 	if x.softwareVersion = x.storedVersion(usage); x.softwareVersion != "" {
 		return nil
 	}
+	if x.mayHaveBegun(usage) && !(x.host.hasLoneVersion(x.service) && x.knowsTargetsAtArrival(ctx) && x.host.hasLoneVersion(x.service)) {
+		return x.unknownVersionFailure()
+	}
 	versions := x.listedVersions()
-	switch {
-	case len(versions) == 0:
-		return nil
-	case len(versions) == 1 && (!x.mayHaveBegun(usage) || x.host.hasLoneVersion(x.service)):
-		x.softwareVersion = versions[0]
+	if len(versions) != 1 {
+		return x.unknownVersionFailure()
+	}
+	x.softwareVersion = versions[0]
+	return nil
+}
+
+// unknownVersionFailure returns the failure of a stream whose software version is not known, nil if targets have none.
+func (x *exchange) unknownVersionFailure() error {
+	if x.host.hasTargetsWithoutVersion(x.service) {
 		return nil
 	}
 	x.host.Meter.Count("streams", "version_unknown")
-	return failure.Retry(failure.NoTarget, defaultRetryDelay, "software version of the stream of attempt %q is not known, service %s has %d", x.call.Resumes, x.service, len(versions))
+	return failure.Retry(failure.NoTarget, defaultRetryDelay, "software version of the stream of attempt %q is not known, service %s has %v", x.call.Resumes, x.service, x.listedVersions())
 }
 
 // storedVersion returns the software version of the stream that the caller takes up; empty if usage does not
@@ -186,12 +194,20 @@
 }
 
 // hasLoneVersion reports whether targets of a service have had only one software version for longer than any
-// stream lasts, so that every stream began there.
+// stream lasts, so that every stream began there, as far as this host has heard. A host that holds a subset of the
+// targets does not know.
 func (h *Host) hasLoneVersion(service string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	_, ok := h.versions.Lone(service, maxRequestTimeout, h.now())
-	return ok
+	return ok && h.registry.HoldsAll(service)
+}
+
+// hasTargetsWithoutVersion reports whether a service has targets, and none of them has a software version.
+func (h *Host) hasTargetsWithoutVersion(service string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.registry.HasTargets(service) && len(h.registry.SoftwareVersions(service)) == 0
 }
 
 // observeVersions records the software versions that the targets of a service have now. The caller holds mu.
--- a/daemon/entry/state.go
+++ b/daemon/entry/state.go
@@ -48,7 +48,7 @@
 
 // confirmedAgeMs returns the age of the last confirmation in milliseconds, -1 before the first.
 func (h *Host) confirmedAgeMs() int64 {
-	if h.confirmedAt.Load() == neverConfirmed {
+	if h.configConfirmed.at.Load() == neverConfirmed {
 		return -1
 	}
 	return h.confirmedAge().Milliseconds()
--- a/daemon/entry/take_up_test.go
+++ b/daemon/entry/take_up_test.go
@@ -155,6 +155,7 @@
 	list(s.host, versionOf, targets...)
 	require.Equal(t, http.StatusServiceUnavailable, s.takeUpOutsideProgram("a stream", "unknown").status)
 	s.host.versions.Observe("s", []string{"v1"}, -maxRequestTimeout)
+	s.host.targetList.confirmed.confirm(time.Hour)
 	got := s.takeUpOutsideProgram("a stream", "unknown")
 	require.Equal(t, http.StatusOK, got.status)
 	require.Equal(t, "id: 3\ndata: c\n\n", got.body)
--- a/daemon/entry/turn.go
+++ b/daemon/entry/turn.go
@@ -140,7 +140,7 @@
 	if err := x.crashLimitFailure(); err != nil {
 		return err
 	}
-	if err := x.bindTakenUpStream(&programHistory.Usage); err != nil {
+	if err := x.bindTakenUpStream(ctx, &programHistory.Usage); err != nil {
 		return err
 	}
 	x.markCached(programHistory.Runs)
--- a/daemon/entry/view.go
+++ b/daemon/entry/view.go
@@ -114,6 +114,8 @@
 	// halvings returns how the host's subset of the targets is chosen; nil if it holds all
 	// targets.
 	halvings func() []subset.Halvings
+	// listed is set once there was a list.
+	listed bool
 }
 
 // WithHalvings sets the source of the halvings of the host's subset of the targets, and returns
@@ -151,8 +153,19 @@
 	for _, id := range v.listedExcept(ids) {
 		v.remove(id)
 	}
+	v.observeAllVersions()
+	v.host.advanceTargetList(s.Revision, s.AsOf)
+}
+
+// observeAllVersions records the software versions of all services after a new list. Since an earlier list, targets of
+// other versions may have come and gone.
+func (v *TargetView) observeAllVersions() {
 	v.host.mu.Lock()
 	defer v.host.mu.Unlock()
+	if v.listed {
+		v.host.versions.Restart(v.host.now())
+	}
+	v.listed = true
 	for _, service := range v.host.registry.Services() {
 		v.host.observeVersions(service)
 	}
@@ -175,6 +188,7 @@
 		}
 		v.remove(e.Object.Name)
 	}
+	v.host.advanceTargetList(changes.Revision, changes.AsOf)
 }
 
 // Lost implements objects.Listener. The current list stays in use.
