daemon/entry: a target that leaves the list and ends at once has not left by plan

A request under which targets take themselves off the list, as a process does that shuts down on an error, and end up to 0.9 s later was sent on, 20 targets ended under one. Change: such a target is undecided until it has served on unlisted for 1.5 s (targets must for 2 s); the watch looks every 0.25 s; a target that is listed at its address before that shows that it has ended. Why it works: the platform's pages bound how long a target that leaves by plan serves on; what ends sooner has crashed. TestTargetThatLeavesByPlanHasNotCrashed took the first glance for the verdict; it now has both sides of the bound.

--- a/ctl/roles/crashes_test.go
+++ b/ctl/roles/crashes_test.go
@@ -70,6 +70,9 @@
 // lateWays are the ways of crashing in which the process ends after the request.
 var lateWays = []standin.CrashWay{standin.CrashAfterBreak, standin.CrashAfterError, standin.CrashAfterUnsigned, standin.CrashAfterSilence}
 
+// unclearWays are the ways that look like no run, or like leaving by plan.
+var unclearWays = []standin.CrashWay{standin.CrashAfterRefusal, standin.CrashAfterLeaving}
+
 // crashDelays are the times between the end of a request and the end of the process.
 var crashDelays = []time.Duration{20 * time.Millisecond, 150 * time.Millisecond, 400 * time.Millisecond, 900 * time.Millisecond}
 
@@ -104,6 +107,8 @@
 		}
 	}},
 	{name: "targets that end after the request", crashing: 24, interval: 500 * time.Millisecond, ways: lateWays},
+	{name: "targets that refuse the request and end", crashing: 24, interval: 500 * time.Millisecond, ways: unclearWays[:1]},
+	{name: "targets that leave the list and end", crashing: 24, interval: 500 * time.Millisecond, ways: unclearWays[1:]},
 	{name: "requests answered before, in programs", crashing: 24, interval: 400 * time.Millisecond, answersFirst: 1},
 	{name: "requests answered before, outside of programs", crashing: 24, interval: 400 * time.Millisecond, answersFirst: 1, outsidePrograms: true},
 	{name: "requests answered before, targets that end after the request", crashing: 24, interval: 500 * time.Millisecond, ways: lateWays, answersFirst: 3, outsidePrograms: true},
--- a/ctl/roles/targets_test.go
+++ b/ctl/roles/targets_test.go
@@ -29,6 +29,7 @@
 	}
 	if c.crashMarker != "" {
 		e.CrashUnder(c.crashMarker, &c.crashAnswers, func() { c.restartCrashedTarget(e, service, i, n) })
+		e.LeaveWith(func() { c.store.Remove(targetKind, e.ID) })
 	}
 	ip := fmt.Sprintf("10.3.%d.%d", len(service), i)
 	server := c.serve(ip, e)
--- a/ctl/standin/crash.go
+++ b/ctl/standin/crash.go
@@ -28,6 +28,11 @@
 	CrashAfterUnsigned CrashWay = "unsigned"
 	// CrashAfterSilence gives no answer until the request is cancelled.
 	CrashAfterSilence CrashWay = "silence"
+	// CrashAfterRefusal answers that the request was not run.
+	CrashAfterRefusal CrashWay = "refusal"
+	// CrashAfterLeaving breaks the connection of the request off and takes the engine's entry out of the platform's
+	// list at once, as a process does that shuts down on an error.
+	CrashAfterLeaving CrashWay = "leaving"
 )
 
 // crashSeparator is around the fields of a CrashPlan in the body of a request.
@@ -91,9 +96,9 @@
 	// marker is in the body of these requests; empty for none.
 	marker  string
 	answers *AnswerCounts
-	// onCrash ends the engine's process.
-	onCrash func()
-	crashed bool
+	// onCrash ends the engine's process, onLeave takes its entry out of the platform's list.
+	onCrash, onLeave func()
+	crashed          bool
 	// triggers are the indices in runs of the requests that have ended and under which the engine is about
 	// to crash.
 	triggers []int
@@ -128,6 +133,10 @@
 	e.crash.onCrash()
 }
 
+// LeaveWith sets how the engine takes its entry out of the platform's list; see CrashAfterLeaving. It is called
+// before the engine serves.
+func (e *TurnEngine) LeaveWith(onLeave func()) { e.crash.onLeave = onLeave }
+
 // HasCrashed reports whether the engine has crashed.
 func (e *TurnEngine) HasCrashed() bool {
 	e.mu.Lock()
@@ -159,6 +168,11 @@
 		defer e.crashLater(index, plan.Delay)
 		w.Header().Del(ownheaders.Signature)
 		e.answerPlain(w, r, id)
+	case CrashAfterRefusal:
+		defer e.crashLater(index, plan.Delay)
+		w.Header().Del(ownheaders.Signature)
+		w.Header().Set(ownheaders.NotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
 	case CrashAfterSilence:
 		defer e.crashLater(index, plan.Delay)
 		<-r.Context().Done()
@@ -180,9 +194,13 @@
 // Write ends the run once the remaining events are sent.
 func (w *crashingWriter) Write(b []byte) (int, error) {
 	if w.remaining == 0 || w.Header().Get("Content-Type") != "text/event-stream" {
-		if w.plan.Way == CrashAfterBreak {
+		switch w.plan.Way {
+		case CrashAfterBreak:
+			w.engine.crashLater(w.index, w.plan.Delay)
+		case CrashAfterLeaving:
+			w.engine.crash.onLeave()
 			w.engine.crashLater(w.index, w.plan.Delay)
-		} else {
+		default:
 			w.engine.Crash()
 		}
 		panic(http.ErrAbortHandler)
--- a/daemon/entry/run_watch.go
+++ b/daemon/entry/run_watch.go
@@ -18,6 +18,11 @@
 	// openRunTime is how long a run counts like one whose target crashed if the target serves on: another
 	// attempt would be too early to know. A caller can wait for that.
 	openRunTime = time.Second
+	// unlistedServeTime is how long a target that leaves by plan without announcing it serves on at least, from when
+	// this host knows that it is no longer listed: three quarters of the time for which targets must.
+	unlistedServeTime = 1500 * time.Millisecond
+	// unlistedCheckInterval is the time between two checks whether it still does.
+	unlistedCheckInterval = 250 * time.Millisecond
 )
 
 // runKey identifies the runs of a request at one incarnation of a target.
@@ -65,15 +70,15 @@
 
 // runWatches holds the runs that are watched.
 type runWatches struct {
-	// lateEndWindow and openTime are the constants of these names.
-	lateEndWindow, openTime time.Duration
+	// lateEndWindow, openTime and unlistedServeTime are the constants of these names.
+	lateEndWindow, openTime, unlistedServeTime time.Duration
 
 	mu    sync.Mutex
 	byKey map[runKey]*runWatch
 }
 
 func newRunWatches() *runWatches {
-	return &runWatches{lateEndWindow: lateEndWindow, openTime: openRunTime, byKey: map[runKey]*runWatch{}}
+	return &runWatches{lateEndWindow: lateEndWindow, openTime: openRunTime, unlistedServeTime: unlistedServeTime, byKey: map[runKey]*runWatch{}}
 }
 
 // add returns the watch of a run, and whether it is w, which it becomes if there is none.
@@ -114,15 +119,20 @@
 	defer h.runWatches.remove(w)
 	window := time.NewTimer(h.runWatches.lateEndWindow - time.Since(w.endedAt))
 	defer window.Stop()
+	var unlisted <-chan time.Time // fires if the target is to be checked without news
 	for over := false; !over && w.currentEnd() == historypb.RunEnd_RUN_END_BROKEN; {
 		select {
 		case <-w.news:
+		case <-unlisted:
 		case <-window.C:
 			over = true
 		case <-h.lifetime.Done():
 			return
 		}
 		h.examine(w, over)
+		if unlisted = nil; h.departures.has(w.target) {
+			unlisted = time.After(unlistedCheckInterval)
+		}
 	}
 	select {
 	case <-time.After(h.runWatches.lateEndWindow):
--- a/daemon/entry/target_fate.go
+++ b/daemon/entry/target_fate.go
@@ -1,6 +1,10 @@
 package entry
 
-import "github.com/pistachioarch/pistachioarch/core/balance"
+import (
+	"time"
+
+	"github.com/pistachioarch/pistachioarch/core/balance"
+)
 
 // targetFate is what a host finds out about an incarnation of a target.
 type targetFate int
@@ -11,8 +15,11 @@
 	fateUnknown targetFate = iota
 	// fateServing means that the target is listed and accepts connections.
 	fateServing
-	// fateLeft means that the target leaves or has left by plan: it announced that, or serves on
-	// although it is no longer listed.
+	// fateUnlisted means that the target is no longer listed, has not announced that it leaves and accepts
+	// connections. A target that leaves by plan does so for some time, one that ends may do so for a moment.
+	fateUnlisted
+	// fateLeft means that the target leaves or has left by plan: it announced that, or has served on unlisted
+	// for unlistedServeTime.
 	fateLeft
 	// fateCrashed means that the target has ended without a plan.
 	fateCrashed
@@ -52,10 +59,15 @@
 		return fateLeft
 	case gone.replaced:
 		return fateCrashed
-	case h.reachability.acceptsConnections(t.id, gone.address):
+	case gone.servedOn:
 		return fateLeft
-	default:
+	case !h.reachability.acceptsConnections(t.id, gone.address):
 		return fateCrashed
+	case time.Since(gone.at) >= h.runWatches.unlistedServeTime:
+		h.departures.setServedOn(t)
+		return fateLeft
+	default:
+		return fateUnlisted
 	}
 }
 
--- a/daemon/entry/target_fate_test.go
+++ b/daemon/entry/target_fate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -30,15 +31,20 @@
 	require.True(t, s.host.lastCrashes.isRecent("s"))
 }
 
-// A target that announced that it leaves, or serves on unlisted, has not crashed; any other that is gone has.
+// A target that announced that it leaves, or serves on unlisted long enough, has not crashed; any other that is gone
+// has, also if it served on for a moment.
 func TestTargetThatLeavesByPlanHasNotCrashed(t *testing.T) {
 	for name, c := range map[string]struct {
-		announced, ends bool
-		fate            targetFate
+		announced, ends, early bool
+		later                  time.Duration
+		fate                   targetFate
 	}{
-		"announced":             {announced: true, ends: true, fate: fateLeft},
-		"serves on unlisted":    {fate: fateLeft},
-		"gone without announce": {ends: true, fate: fateCrashed},
+		"announced":                    {announced: true, ends: true, fate: fateLeft},
+		"serves unlisted":              {fate: fateUnlisted},
+		"serves on unlisted":           {later: unlistedServeTime, fate: fateLeft},
+		"served on and ended then":     {later: unlistedServeTime, early: true, ends: true, fate: fateLeft},
+		"gone without announce":        {ends: true, fate: fateCrashed},
+		"served for a moment and gone": {early: true, ends: true, fate: fateCrashed},
 	} {
 		t.Run(name, func(t *testing.T) {
 			x := newFakeTarget(t, "x", breakConnection)
@@ -48,11 +54,35 @@
 				entry.Spec = []byte("draining")
 			}
 			view.Replaced(objects.Snapshot{Items: []objects.Object{entry}})
-			if c.ends {
+			if !c.early && c.ends {
 				require.NoError(t, x.listener.Close())
 			}
 			view.Replaced(objects.Snapshot{})
+			s.host.runWatches.unlistedServeTime -= c.later
+			if c.early {
+				s.host.fateOf(targetStart{id: "x"})
+				require.NoError(t, x.listener.Close())
+			}
+			require.Equal(t, c.fate, s.host.fateOf(targetStart{id: "x"}))
+		})
+	}
+}
+
+// A target at whose address another one is listed soon after it left the list has ended, not left by plan.
+func TestTargetThatIsReplacedSoonAfterItLeftTheListHasCrashed(t *testing.T) {
+	for name, c := range map[string]struct {
+		later time.Duration
+		fate  targetFate
+	}{"soon": {0, fateCrashed}, "later": {unlistedServeTime, fateLeft}} {
+		t.Run(name, func(t *testing.T) {
+			x := newFakeTarget(t, "x", breakConnection)
+			s, view := newFateSystem(t, x)
+			view.Replaced(objects.Snapshot{Items: []objects.Object{{Name: "x", Revision: 1}}})
+			view.Replaced(objects.Snapshot{})
+			s.host.runWatches.unlistedServeTime -= c.later
+			view.Changed(objects.Changes{Events: []objects.Event{{Object: objects.Object{Name: "next", Revision: 2}}}})
 			require.Equal(t, c.fate, s.host.fateOf(targetStart{id: "x"}))
+			require.Equal(t, fateServing, s.host.fateOf(targetStart{id: "next"}))
 		})
 	}
 }
--- a/daemon/entry/view.go
+++ b/daemon/entry/view.go
@@ -229,8 +229,9 @@
 }
 
 // recordPredecessors records the crash of targets whose address a new one has taken over. The platform
-// lists the former ones for some time. The caller holds the mu of host.
+// lists the former ones for some time, or not any more. The caller holds the mu of host.
 func (v *TargetView) recordPredecessors(info balance.TargetInfo) {
+	v.host.departures.replaceAt(info.Address, v.host.runWatches.unlistedServeTime)
 	for _, predecessor := range v.host.registry.AddressHolders(info.Service, info.Address) {
 		v.recordDeparture(predecessor.TargetInfo, true)
 		v.host.lastCrashes.record(info.Service)
