--- a/ctl/roles/crashes_test.go
+++ b/ctl/roles/crashes_test.go
@@ -57,6 +57,8 @@
 	interval time.Duration
 	// ways are the ways in which the targets crash; none for standin.CrashAtOnce.
 	ways []standin.CrashWay
+	// delays are the times from the end of a request to the crash; none for crashDelays.
+	delays []time.Duration
 	// answersFirst is the number of times that a request is answered before targets crash under it.
 	answersFirst int
 	// outsidePrograms reports that the requests do not belong to programs.
@@ -108,6 +110,7 @@
 	}},
 	{name: "targets that end after the request", crashing: 24, interval: 500 * time.Millisecond, ways: lateWays},
 	{name: "targets that refuse the request and end", crashing: 24, interval: 500 * time.Millisecond, ways: unclearWays[:1]},
+	{name: "targets that refuse the request and end at once", crashing: 24, interval: 500 * time.Millisecond, ways: unclearWays[:1], delays: crashDelays[:1]},
 	{name: "targets that leave the list and end", crashing: 24, interval: 500 * time.Millisecond, ways: unclearWays[1:]},
 	{name: "requests answered before, in programs", crashing: 24, interval: 400 * time.Millisecond, answersFirst: 1},
 	{name: "requests answered before, outside of programs", crashing: 24, interval: 400 * time.Millisecond, answersFirst: 1, outsidePrograms: true},
@@ -137,7 +140,11 @@
 func (cc *crashCase) crashBody(n int, r *rand.Rand) string {
 	plan := standin.CrashPlan{AnswersFirst: cc.answersFirst}
 	if len(cc.ways) > 0 {
-		plan.Way, plan.Delay = cc.ways[n%len(cc.ways)], crashDelays[r.IntN(len(crashDelays))]
+		delays := cc.delays
+		if len(delays) == 0 {
+			delays = crashDelays
+		}
+		plan.Way, plan.Delay = cc.ways[n%len(cc.ways)], delays[r.IntN(len(delays))]
 	}
 	return fmt.Sprintf("%s%02d", plan.Body(crashMarker), n) + strings.Repeat("x", r.IntN(3))
 }
