--- a/daemon/entry/broken_run.go
+++ b/daemon/entry/broken_run.go
@@ -81,7 +81,7 @@
 // earlier one if there is one.
 func (x *exchange) watchRun(target targetStart, generation int32, reason string, endedAt time.Time) *runWatch {
 	w, isNew := x.host.runWatches.add(&runWatch{
-		runKey: runKey{x.fingerprint, target}, generation: generation, request: x.call.ID, service: x.service, reason: reason,
+		runKey: runKey{x.fingerprint, target, generation}, request: x.call.ID, service: x.service, reason: reason,
 		program: x.recordProgram(), retention: x.retention(),
 		endedAt: endedAt, news: make(chan struct{}, 1), end: historypb.RunEnd_RUN_END_BROKEN,
 	})
--- a/daemon/entry/cleared_crashes_test.go
+++ b/daemon/entry/cleared_crashes_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -138,3 +139,18 @@
 	require.Equal(t, ledger.MaxCrashes-1, sendCount(crashing))
 	require.True(t, isGivenUp(s.callRepeatedly(1)[0]))
 }
+
+// A run must be watched by itself, also where an earlier run of the request at the target was answered since.
+func TestRunAfterAnswerIsWatchedByItself(t *testing.T) {
+	s := newSystem(t)
+	x := s.sharedCall()
+	target := targetStart{id: "t"}
+	first := x.watchRun(target, 1, "broken", time.Now())
+	x.ownWatches = append(x.ownWatches, first)
+	x.forgetBrokenRuns()
+	s.host.endWatch(first, historypb.RunEnd_RUN_END_OUTLIVED)
+	second := x.watchRun(target, 2, "broken", time.Now())
+	require.False(t, second.answered.Load())
+	require.Equal(t, historypb.RunEnd_RUN_END_BROKEN, second.currentEnd())
+	require.Same(t, second, x.watchRun(target, 2, "broken", time.Now()))
+}
--- a/daemon/entry/run_watch.go
+++ b/daemon/entry/run_watch.go
@@ -25,16 +25,16 @@
 	unlistedCheckInterval = 250 * time.Millisecond
 )
 
-// runKey identifies the runs of a request at one incarnation of a target.
+// runKey identifies the runs of a request at one incarnation of a target that are of one generation.
 type runKey struct {
 	fingerprint string
 	target      targetStart
+	generation  int32
 }
 
 // runWatch is a run without an answer whose target served on right after it.
 type runWatch struct {
 	runKey
-	generation               int32
 	request, service, reason string
 	// program is the name under which the run is stored, for retention.
 	program   string
