--- a/daemon/entry/hedge.go
+++ b/daemon/entry/hedge.go
@@ -135,7 +135,8 @@
 		h.Log.Info("call not sent a second time", "request", x.call.ID, "target", first.ID, "error", err.Error())
 		return balance.TargetInfo{}, false
 	}
-	x.generations[startOf(second)]++              // as if the first send had ended: it is the same caller's
+	// The two sends are the same caller's: the second one counts as if the first had ended.
+	x.generations[startOf(second)]++
 	if err := x.announceRun(second); err != nil { // no run of a hedged call has crashed a target before
 		h.Log.Warn("second send not announced", "request", x.call.ID, "error", err.Error())
 	}
