daemon/entry: refusals are not counted again; takes back

Callers would have seen: innocent requests beside thirty that end their targets at once denied after two crashes and one refusal. Cause: a target that is full, or that is about to end under another request, refuses too; what it refused was blamed for its end. Change: reverted; 'not executed' is no run, and nothing is counted.

--- a/daemon/entry/broken_run_store.go
+++ b/daemon/entry/broken_run_store.go
@@ -58,7 +58,6 @@
 // again: too many targets crashed under it, or that one has crashed could not be stored. If the caller has
 // left or the time is up, that is done in the background.
 func (x *exchange) recordBrokenRuns(ctx context.Context) error {
-	x.checkRefusals(ctx)
 	broken := x.takeBrokenRuns()
 	if len(broken) == 0 {
 		return nil
--- a/daemon/entry/connect_check.go
+++ b/daemon/entry/connect_check.go
@@ -42,14 +42,6 @@
 	return check.accepted
 }
 
-// isUnreachable reports whether the last connections to a target failed.
-func (m *reachabilityMonitor) isUnreachable(target string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	state := m.targets[target]
-	return state != nil && state.unreachable
-}
-
 // connect reports whether a process at the address reacts to a connection within probeTimeout. One that
 // has too many connections may reset a new one.
 func (m *reachabilityMonitor) connect(address string) bool {
--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -204,7 +204,6 @@
 	if !resp.Answer.Misdirected {
 		x.capacityWait.addFull(t.ID)
 	}
-	x.addRefusal(t, resp.Answer)
 	f := failure.Retry(failure.TargetFull, defaultRetryDelay, "target %s refused the request with status %d", t.ID, resp.Status)
 	x.addBrokenRun(t, f)
 	return true, f
--- a/daemon/entry/handle.go
+++ b/daemon/entry/handle.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"github.com/pistachioarch/pistachioarch/core/balance"
 	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/core/ledger"
 	"github.com/pistachioarch/pistachioarch/core/request"
@@ -35,8 +34,6 @@
 	// holds those of all attempts as far as they are known.
 	newBrokenRuns []brokenRun
 	brokenRuns    ledger.BrokenRuns
-	// refusals are the targets that answered that they have not run the request, and have not been looked at since.
-	refusals []balance.TargetInfo
 	// announced are the targets at which runs were announced.
 	announced []targetStart
 	// generations are the generations of this attempt's runs.
@@ -108,7 +105,6 @@
 	defer x.held.closeAccount(r)
 	defer x.endTrial()
 	if err := x.serve(); err != nil {
-		x.checkRefusalsLater()
 		x.fail(failure.From(err))
 		return
 	}
--- a/daemon/entry/stream.go
+++ b/daemon/entry/stream.go
@@ -174,7 +174,6 @@
 		_ = resp.Body.Close()
 		release()
 		if resp.Answer.NotRun {
-			x.addRefusal(t, resp.Answer)
 			x.addBrokenRun(t, failure.New(failure.TargetFull, "status %d", resp.Status))
 			if limit := x.recordBrokenRuns(ctx); limit != nil {
 				return balance.TargetInfo{}, nil, nil, limit
