--- a/daemon/entry/announce.go
+++ b/daemon/entry/announce.go
@@ -21,7 +21,7 @@
 	if !x.mustAnnounce() {
 		return nil
 	}
-	run := x.newBrokenRunRecord(startOf(t), historypb.RunEnd_RUN_END_UNKNOWN)
+	run := x.newBrokenRunRecord(startOf(t), x.generations[startOf(t)], historypb.RunEnd_RUN_END_UNKNOWN)
 	x.announced = append(x.announced, startOf(t))
 	if x.brokenRuns.Confirmed() == 0 {
 		x.host.storeBrokenRunsLater(x.recordProgram(), x.retention(), run)
--- a/daemon/entry/broken_run.go
+++ b/daemon/entry/broken_run.go
@@ -16,6 +16,8 @@
 	target balance.TargetInfo
 	reason string
 	notRun bool
+	// generation is that of the run.
+	generation int32
 	// answered is set if the target answered with a failure of its own.
 	answered bool
 }
@@ -25,14 +27,14 @@
 func (x *exchange) addBrokenRun(t balance.TargetInfo, f *failure.Failure) {
 	notRun := f.Ran == failure.RanNo
 	if !notRun || slices.Contains(x.announced, startOf(t)) {
-		x.newBrokenRuns = append(x.newBrokenRuns, brokenRun{target: t, reason: f.Detail, notRun: notRun})
+		x.newBrokenRuns = append(x.newBrokenRuns, brokenRun{target: t, generation: x.generations[startOf(t)], reason: f.Detail, notRun: notRun})
 	}
 }
 
 // addFailedRun notes a run that its target answered with a failure.
 func (x *exchange) addFailedRun(t balance.TargetInfo, status int) {
 	if x.limitsCrashes() {
-		x.newBrokenRuns = append(x.newBrokenRuns, brokenRun{target: t, reason: "status " + strconv.Itoa(status), answered: true})
+		x.newBrokenRuns = append(x.newBrokenRuns, brokenRun{target: t, generation: x.generations[startOf(t)], reason: "status " + strconv.Itoa(status), answered: true})
 	}
 }
 
@@ -49,14 +51,14 @@
 	if !run.notRun {
 		end = x.endOf(run)
 	}
-	record := x.newBrokenRunRecord(startOf(run.target), end)
+	record := x.newBrokenRunRecord(startOf(run.target), run.generation, end)
 	record.EndedMs = time.Now().UnixMilli()
 	return record
 }
 
 // newBrokenRunRecord returns the record of a run of the request.
-func (x *exchange) newBrokenRunRecord(t targetStart, end historypb.RunEnd) *historypb.BrokenRun {
-	return &historypb.BrokenRun{Request: x.fingerprint, Target: t.id, Born: t.startedAtMs, End: end, Generation: x.generations[t]}
+func (x *exchange) newBrokenRunRecord(t targetStart, generation int32, end historypb.RunEnd) *historypb.BrokenRun {
+	return &historypb.BrokenRun{Request: x.fingerprint, Target: t.id, Born: t.startedAtMs, End: end, Generation: generation}
 }
 
 // endOf finds out whether the target of a run has crashed, and logs and counts the run. A target that
@@ -70,7 +72,7 @@
 		h.lastCrashes.record(x.service)
 		h.Meter.Count("runs", "crashed")
 	} else if x.limitsCrashes() {
-		x.ownWatches = append(x.ownWatches, x.watchRun(startOf(run.target), x.generations[startOf(run.target)], run.reason, time.Now()))
+		x.ownWatches = append(x.ownWatches, x.watchRun(startOf(run.target), run.generation, run.reason, time.Now()))
 	}
 	h.Log.Info("run broken off", "request", x.call.ID, "fingerprint", x.fingerprint, "program", x.call.Program, "route", x.route.Name,
 		"target", run.target.ID, "crashed", end == historypb.RunEnd_RUN_END_CRASHED, "sends", x.sendCount, "reason", run.reason)
@@ -106,7 +108,7 @@
 	}
 	runs := []*historypb.BrokenRun{{Request: x.fingerprint, End: historypb.RunEnd_RUN_END_ANSWERED, Generation: x.brokenRuns.NextGeneration()}}
 	for _, t := range x.announced {
-		runs = append(runs, x.newBrokenRunRecord(t, historypb.RunEnd_RUN_END_OUTLIVED))
+		runs = append(runs, x.newBrokenRunRecord(t, x.generations[t], historypb.RunEnd_RUN_END_OUTLIVED))
 	}
 	x.host.storeBrokenRunsLater(x.recordProgram(), x.retention(), runs...)
 }
