daemon/entry, core/ledger: targets that crash after they refused a request are counted by themselves

Cause: only runs were remembered; a refused request has not run, so that each attempt ended two more targets. Evidence: trace of the first request of a run: two sends an attempt, nothing read at the next one. Change: refusals of targets that were not full are stored and watched for a second, and counted by themselves: counted with runs they had denied innocent requests after two crashes and one refusal. Also of requests that must not run twice.

--- a/core/ledger/brokenrun.go
+++ b/core/ledger/brokenrun.go
@@ -39,8 +39,11 @@
 	return r.known && r.generation >= lessCertain.generation
 }
 
+// runEnds is the number of ends of runs.
+const runEnds = historypb.RunEnd_RUN_END_CRASHED_AFTER_REFUSAL + 1
+
 // runState is what is known of the runs of a request at one incarnation of a target, by their end.
-type runState [historypb.RunEnd_RUN_END_ANSWERED]runRecord
+type runState [runEnds]runRecord
 
 // end returns the most certain end of a run that counts and its record; false if none counts: each run did not begin,
 // was answered, or was outlived by the target.
@@ -85,7 +88,7 @@
 		switch {
 		case r.End == historypb.RunEnd_RUN_END_ANSWERED:
 			b.setAnswered(r.Generation)
-		case r.End >= 0 && r.End < historypb.RunEnd_RUN_END_ANSWERED && r.Generation >= b.answered:
+		case r.End >= 0 && r.End < runEnds && r.Generation >= b.answered:
 			b.add(incarnation{r.Target, r.Born}, r.End, runRecord{true, r.Generation, r.EndedMs})
 		}
 	}
@@ -132,6 +135,9 @@
 	return b.has(historypb.RunEnd_RUN_END_BROKEN, historypb.RunEnd_RUN_END_CRASHED)
 }
 
+// HasRefusals reports whether a target refused the request that may yet be held against it.
+func (b *BrokenRuns) HasRefusals() bool { return b.Refusals().HasUnanswered() }
+
 // HasAnnounced reports whether a run was announced of which nothing else is known.
 func (b *BrokenRuns) HasAnnounced() bool { return b.has(historypb.RunEnd_RUN_END_UNKNOWN) }
 
@@ -139,11 +145,27 @@
 func (b *BrokenRuns) NextGeneration() int32 {
 	last := b.answered
 	for _, state := range b.runs {
-		last = max(last, state[historypb.RunEnd_RUN_END_BROKEN].generation, state[historypb.RunEnd_RUN_END_CRASHED].generation)
+		last = max(last, state[historypb.RunEnd_RUN_END_BROKEN].generation, state[historypb.RunEnd_RUN_END_CRASHED].generation,
+			state[historypb.RunEnd_RUN_END_REFUSED].generation, state[historypb.RunEnd_RUN_END_CRASHED_AFTER_REFUSAL].generation)
 	}
 	return last + 1
 }
 
+// Refusals returns the refusals of the request as if they were runs that ended without an answer, so that they are
+// counted by themselves: a target that refuses a request may have crashed under one that it ran.
+func (b *BrokenRuns) Refusals() *BrokenRuns {
+	refusals := &BrokenRuns{answered: b.answered}
+	for key, state := range b.runs {
+		refused, crashed := state[historypb.RunEnd_RUN_END_REFUSED], state[historypb.RunEnd_RUN_END_CRASHED_AFTER_REFUSAL]
+		if refused.known || crashed.known {
+			refusals.add(key, historypb.RunEnd_RUN_END_BROKEN, refused)
+			refusals.add(key, historypb.RunEnd_RUN_END_CRASHED, crashed)
+			refusals.add(key, historypb.RunEnd_RUN_END_OUTLIVED, state[historypb.RunEnd_RUN_END_OUTLIVED])
+		}
+	}
+	return refusals
+}
+
 // Confirmed returns the number of targets that were found to have crashed.
 func (b *BrokenRuns) Confirmed() int {
 	count := 0
--- a/core/ledger/brokenrun_test.go
+++ b/core/ledger/brokenrun_test.go
@@ -16,6 +16,9 @@
 	outlived = historypb.RunEnd_RUN_END_OUTLIVED
 	crashed  = historypb.RunEnd_RUN_END_CRASHED
 	answered = historypb.RunEnd_RUN_END_ANSWERED
+	refused  = historypb.RunEnd_RUN_END_REFUSED
+
+	crashedAfterRefusal = historypb.RunEnd_RUN_END_CRASHED_AFTER_REFUSAL
 )
 
 func brokenRun(request, target string, startedAtMs int64, end historypb.RunEnd) *historypb.Record {
@@ -150,3 +153,24 @@
 	b.Merge([]*historypb.BrokenRun{{Target: "d", End: crashed, Generation: 2}, {Target: "a", End: unknown, Generation: 3}, {Target: "a", End: notRun, Generation: 3}})
 	require.Equal(t, 2, b.CrashGenerations(), "target a was gone when the request was sent there again")
 }
+
+// A target that refuses a request because it is about to crash under another one must not count like one that crashed
+// under a run of it.
+func TestRefusalsAreCountedByThemselves(t *testing.T) {
+	b := &BrokenRuns{}
+	b.Merge([]*historypb.BrokenRun{
+		{Target: "a", End: crashed, Generation: 1}, {Target: "b", End: crashed, Generation: 2},
+		{Target: "c", End: refused, Generation: 3}, {Target: "c", End: crashedAfterRefusal, Generation: 3}, {Target: "d", End: refused, Generation: 4}, {Target: "e", End: refused, Generation: 4},
+		{Target: "f", End: refused, Generation: 4}, {Target: "f", End: outlived, Generation: 4},
+	})
+	crash := func(*historypb.BrokenRun) Judgement { return Crashed }
+	require.Equal(t, [2]int{2, 0}, count(b, crash))
+	require.Equal(t, [2]int{3, 0}, count(b.Refusals(), crash), "target f served on")
+	require.Equal(t, [2]int{1, 2}, count(b.Refusals(), func(*historypb.BrokenRun) Judgement { return MayCrash }))
+	require.EqualValues(t, 5, b.NextGeneration())
+	replica := &BrokenRuns{}
+	replica.Merge(b.records("r"))
+	require.Equal(t, b.digest("r"), replica.digest("r"))
+	b.Merge([]*historypb.BrokenRun{{End: answered, Generation: 5}})
+	require.False(t, b.HasRefusals())
+}
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -70,6 +70,11 @@
 	IdleTimeout time.Duration
 }
 
+// ReportsFull reports whether the target was full by its own report.
+func (a Answer) ReportsFull() bool {
+	return a.HasLoad && (a.Load.Running >= a.Load.Capacity || a.Load.Waiting > 0)
+}
+
 // Load is a target's own report of its load.
 type Load struct {
 	// Running and Waiting are the numbers of requests that the target runs and queues; Capacity
--- a/daemon/entry/broken_run.go
+++ b/daemon/entry/broken_run.go
@@ -18,8 +18,9 @@
 	notRun bool
 	// generation is that of the run.
 	generation int32
-	// answered is set if the target answered with a failure of its own.
-	answered bool
+	// answered is set if the target answered with a failure of its own, refused if it stated that the request did not
+	// run there.
+	answered, refused bool
 }
 
 // addBrokenRun notes a failed send if the target may have run the request, or if the run was announced and
@@ -48,7 +49,11 @@
 // brokenRunRecord finds out how a run ended as far as it is known now, and returns its record.
 func (x *exchange) brokenRunRecord(run brokenRun) *historypb.BrokenRun {
 	end := historypb.RunEnd_RUN_END_NOT_RUN
-	if !run.notRun {
+	switch {
+	case run.refused:
+		x.ownWatches = append(x.ownWatches, x.watchRun(x.runKeyOf(run), run.reason, time.Now()))
+		end = historypb.RunEnd_RUN_END_REFUSED
+	case !run.notRun:
 		end = x.endOf(run)
 	}
 	record := x.newBrokenRunRecord(startOf(run.target), run.generation, end)
@@ -72,18 +77,23 @@
 		h.lastCrashes.record(x.service)
 		h.Meter.Count("runs", "crashed")
 	} else if x.limitsCrashes() {
-		x.ownWatches = append(x.ownWatches, x.watchRun(startOf(run.target), run.generation, run.reason, time.Now()))
+		x.ownWatches = append(x.ownWatches, x.watchRun(x.runKeyOf(run), run.reason, time.Now()))
 	}
 	h.Log.Info("run broken off", "request", x.call.ID, "fingerprint", x.fingerprint, "program", x.call.Program, "route", x.route.Name,
 		"target", run.target.ID, "crashed", end == historypb.RunEnd_RUN_END_CRASHED, "sends", x.sendCount, "reason", run.reason)
 	return end
 }
 
+// runKeyOf returns what identifies a run of this attempt.
+func (x *exchange) runKeyOf(run brokenRun) runKey {
+	return runKey{x.fingerprint, startOf(run.target), run.generation, run.refused}
+}
+
 // watchRun watches the target of a run that ended without an answer at endedAt, and returns the watch, an
 // earlier one if there is one.
-func (x *exchange) watchRun(target targetStart, generation int32, reason string, endedAt time.Time) *runWatch {
+func (x *exchange) watchRun(key runKey, reason string, endedAt time.Time) *runWatch {
 	w, isNew := x.host.runWatches.add(&runWatch{
-		runKey: runKey{x.fingerprint, target, generation}, request: x.call.ID, service: x.service, reason: reason,
+		runKey: key, request: x.call.ID, service: x.service, reason: reason,
 		program: x.recordProgram(), retention: x.retention(),
 		endedAt: endedAt, news: make(chan struct{}, 1), end: historypb.RunEnd_RUN_END_BROKEN,
 	})
@@ -103,7 +113,7 @@
 // recordAnswered stores that the request has been answered, if runs of it were announced or ended without an answer
 // before. Its program may make the same call again, or other callers the same request; a turn is made once.
 func (x *exchange) recordAnswered() {
-	if x.isTurn() || len(x.announced) == 0 && !x.brokenRuns.HasUnanswered() {
+	if x.isTurn() || len(x.announced) == 0 && !x.brokenRuns.HasUnanswered() && !x.brokenRuns.HasRefusals() {
 		return
 	}
 	runs := []*historypb.BrokenRun{{Request: x.fingerprint, End: historypb.RunEnd_RUN_END_ANSWERED, Generation: x.brokenRuns.NextGeneration()}}
--- a/daemon/entry/broken_run_store.go
+++ b/daemon/entry/broken_run_store.go
@@ -58,6 +58,7 @@
 // again: too many targets crashed under it, or that one has crashed could not be stored. If the caller has
 // left or the time is up, that is done in the background.
 func (x *exchange) recordBrokenRuns(ctx context.Context) error {
+	x.countRefusals()
 	broken := x.takeBrokenRuns()
 	if len(broken) == 0 {
 		return nil
@@ -68,12 +69,15 @@
 	}
 	runs := x.brokenRunList(broken)
 	if !x.limitsCrashes() {
+		runs = slices.DeleteFunc(runs, mayHaveRun)
+	}
+	if len(runs) == 0 {
 		return nil
 	}
 	x.brokenRuns.Merge(runs)
 	if !slices.ContainsFunc(runs, mayHaveRun) {
 		x.host.storeBrokenRunsLater(x.recordProgram(), x.retention(), runs...)
-		return nil
+		return x.refusalLimitFailure()
 	}
 	err := x.storeBrokenRuns(runs)
 	if limit := x.crashLimitFailure(); limit != nil {
@@ -86,7 +90,9 @@
 }
 
 // mayHaveRun reports whether a target may have run the request.
-func mayHaveRun(run *historypb.BrokenRun) bool { return run.End != historypb.RunEnd_RUN_END_NOT_RUN }
+func mayHaveRun(run *historypb.BrokenRun) bool {
+	return run.End != historypb.RunEnd_RUN_END_NOT_RUN && run.End != historypb.RunEnd_RUN_END_REFUSED
+}
 
 // recordGivenUpRuns stores runs that ended because the caller left or the time was up.
 func (x *exchange) recordGivenUpRuns(broken []brokenRun) {
@@ -143,8 +149,10 @@
 	return h.History.WriteUnlessUnreachable(ctx, 0, program, retention, brokenRunRecords(runs)...)
 }
 
-// isCrash reports whether a run is known to have crashed its target.
-func isCrash(run *historypb.BrokenRun) bool { return run.End == historypb.RunEnd_RUN_END_CRASHED }
+// isCrash reports whether the target of a run is known to have crashed.
+func isCrash(run *historypb.BrokenRun) bool {
+	return run.End == historypb.RunEnd_RUN_END_CRASHED || run.End == historypb.RunEnd_RUN_END_CRASHED_AFTER_REFUSAL
+}
 
 // brokenRunRecords returns a record of each run. A record belongs to one write.
 func brokenRunRecords(runs []*historypb.BrokenRun) []*historypb.Record {
--- a/daemon/entry/cleared_crashes_test.go
+++ b/daemon/entry/cleared_crashes_test.go
@@ -145,12 +145,12 @@
 	s := newSystem(t)
 	x := s.sharedCall()
 	target := targetStart{id: "t"}
-	first := x.watchRun(target, 1, "broken", time.Now())
+	first := x.watchRun(runKey{x.fingerprint, target, 1, false}, "broken", time.Now())
 	x.ownWatches = append(x.ownWatches, first)
 	x.forgetBrokenRuns()
 	s.host.endWatch(first, historypb.RunEnd_RUN_END_OUTLIVED)
-	second := x.watchRun(target, 2, "broken", time.Now())
+	second := x.watchRun(runKey{x.fingerprint, target, 2, false}, "broken", time.Now())
 	require.False(t, second.answered.Load())
 	require.Equal(t, historypb.RunEnd_RUN_END_BROKEN, second.currentEnd())
-	require.Same(t, second, x.watchRun(target, 2, "broken", time.Now()))
+	require.Same(t, second, x.watchRun(runKey{x.fingerprint, target, 2, false}, "broken", time.Now()))
 }
--- a/daemon/entry/crash_limit.go
+++ b/daemon/entry/crash_limit.go
@@ -26,14 +26,15 @@
 
 // awaitBrokenRuns reads the broken runs of earlier attempts of a call, and returns the failure of a call
 // that must not be sent. If they cannot be read, the call is sent only if no target of its service has
-// crashed lately as far as the host knows.
+// crashed lately as far as the host knows. Of a request that must not run twice only refusals count.
 func (x *exchange) awaitBrokenRuns(ctx context.Context) error {
-	if !x.limitsCrashes() {
+	crashedLately := x.host.lastCrashes.isRecent(x.service)
+	if !x.limitsCrashes() && !crashedLately {
 		return nil
 	}
 	if err := x.readBrokenRunsInTime(ctx); err != nil {
 		x.host.Meter.Count("broken_runs", "not_read")
-		if x.host.lastCrashes.isRecent(x.service) {
+		if x.limitsCrashes() && crashedLately {
 			return failure.Retry(failure.HistoryUnavailable, x.historyRetryDelay(), "broken runs of earlier attempts: %v", err)
 		}
 	}
@@ -41,17 +42,31 @@
 }
 
 // crashLimitFailure returns the failure of a request that must not be sent, else nil: a final one if too many
-// targets crashed under it, one to retry if that is not known yet.
+// targets crashed under it, one to retry if that is not known yet. Targets that crashed after they refused it are
+// counted by themselves.
 func (x *exchange) crashLimitFailure() error {
+	if err := x.limitFailure(&x.brokenRuns, false); err != nil {
+		return err
+	}
+	return x.refusalLimitFailure()
+}
+
+// refusalLimitFailure is crashLimitFailure for the targets that refused the request.
+func (x *exchange) refusalLimitFailure() error {
+	return x.limitFailure(x.brokenRuns.Refusals(), true)
+}
+
+// limitFailure is crashLimitFailure for the runs or for the refusals of the request.
+func (x *exchange) limitFailure(runs *ledger.BrokenRuns, refused bool) error {
 	var waits []time.Duration
 	var found []*historypb.BrokenRun
-	crashed, open := x.brokenRuns.Count(func(run *historypb.BrokenRun) ledger.Judgement {
-		judgement, openFor := x.judge(run)
+	crashed, open := runs.Count(func(run *historypb.BrokenRun) ledger.Judgement {
+		judgement, openFor := x.judge(run, refused)
 		switch judgement {
 		case ledger.MayCrash:
 			waits = append(waits, openFor)
 		case ledger.Crashed:
-			run.End = historypb.RunEnd_RUN_END_CRASHED
+			run.End = runKey{refused: refused}.recordedEnd(historypb.RunEnd_RUN_END_CRASHED)
 			found = append(found, run)
 		}
 		return judgement
@@ -59,11 +74,11 @@
 	x.brokenRuns.Merge(found)
 	limit := x.openRunLimit()
 	switch {
-	case crashed >= ledger.MaxCrashes && x.mayRunBesideOthers():
+	case crashed >= ledger.MaxCrashes && x.mayRunBesideOthers(runs):
 		return x.beginTrial(crashed)
 	case crashed >= ledger.MaxCrashes:
 		x.host.Meter.Count("requests", "given_up")
-		return failure.Unknown(failure.TargetCrashes, "%d targets crashed while they ran the request", ledger.MaxCrashes)
+		return failure.Unknown(failure.TargetCrashes, "%d targets crashed while they ran the request or after they refused it", ledger.MaxCrashes)
 	case crashed+open < limit:
 		x.logSendAfterCrashes(crashed, open)
 		return nil
@@ -95,13 +110,13 @@
 
 // judge finds out what became of the target of a run by now. openFor is how long the run still counts if the
 // target may crash yet.
-func (x *exchange) judge(run *historypb.BrokenRun) (_ ledger.Judgement, openFor time.Duration) {
+func (x *exchange) judge(run *historypb.BrokenRun, refused bool) (_ ledger.Judgement, openFor time.Duration) {
 	target := targetStart{run.Target, run.Born}
 	announced := run.End == historypb.RunEnd_RUN_END_UNKNOWN
 	if announced && x.host.fateOf(target) != fateCrashed {
 		return ledger.NotCrashed, 0
 	}
-	w := x.watchRun(target, run.Generation, "run at another host", x.host.endedAt(run))
+	w := x.watchRun(runKey{x.fingerprint, target, run.Generation, refused}, "run at another host", x.host.endedAt(run))
 	switch x.host.examine(w, false) {
 	case historypb.RunEnd_RUN_END_CRASHED:
 		return ledger.Crashed, 0
--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -108,7 +108,7 @@
 // spreadBy keeps requests under which targets have crashed apart from each other: one of them may be the cause,
 // and the others would meet it again and again.
 func (x *exchange) spreadBy() string {
-	if x.brokenRuns.Confirmed() == 0 {
+	if x.brokenRuns.Confirmed()+x.brokenRuns.Refusals().Confirmed() == 0 {
 		return ""
 	}
 	return x.fingerprint
@@ -206,5 +206,6 @@
 	}
 	f := failure.Retry(failure.TargetFull, defaultRetryDelay, "target %s refused the request with status %d", t.ID, resp.Status)
 	x.addBrokenRun(t, f)
+	x.addRefusal(t, resp)
 	return true, f
 }
--- a/daemon/entry/handle.go
+++ b/daemon/entry/handle.go
@@ -34,6 +34,8 @@
 	// holds those of all attempts as far as they are known.
 	newBrokenRuns []brokenRun
 	brokenRuns    ledger.BrokenRuns
+	// refusals are those of targets that were not full, as long as they are not counted.
+	refusals []brokenRun
 	// announced are the targets at which runs were announced.
 	announced []targetStart
 	// generations are the generations of this attempt's runs.
--- a/daemon/entry/hedge.go
+++ b/daemon/entry/hedge.go
@@ -160,6 +160,7 @@
 		if !result.resp.Answer.Misdirected {
 			x.capacityWait.addFull(result.target.ID)
 		}
+		x.addRefusal(result.target, result.resp)
 		return failure.Retry(failure.TargetFull, defaultRetryDelay, "target %s refused the request with status %d", result.target.ID, result.resp.Status)
 	case failure.Is(result.err, failure.Overloaded):
 		h.recordOutcome(result.target, balance.Abandoned) // this host has no memory for the answer
--- a/daemon/entry/run_watch.go
+++ b/daemon/entry/run_watch.go
@@ -30,6 +30,8 @@
 	fingerprint string
 	target      targetStart
 	generation  int32
+	// refused is set if the target stated that the request did not run there.
+	refused bool
 }
 
 // runWatch is a run without an answer whose target served on right after it.
@@ -57,6 +59,14 @@
 	return w.end
 }
 
+// recordedEnd returns the end under which a watched run is stored: crashes after a refusal are counted by themselves.
+func (k runKey) recordedEnd(end historypb.RunEnd) historypb.RunEnd {
+	if k.refused && end == historypb.RunEnd_RUN_END_CRASHED {
+		return historypb.RunEnd_RUN_END_CRASHED_AFTER_REFUSAL
+	}
+	return end
+}
+
 // setEnd sets the end of the run unless it is known already, and reports whether it did.
 func (w *runWatch) setEnd(end historypb.RunEnd) bool {
 	w.mu.Lock()
@@ -81,6 +91,14 @@
 	return &runWatches{lateEndWindow: lateEndWindow, openTime: openRunTime, unlistedServeTime: unlistedServeTime, byKey: map[runKey]*runWatch{}}
 }
 
+// windowOf returns how long after a watched run the end of its target is put down to it.
+func (r *runWatches) windowOf(w *runWatch) time.Duration {
+	if w.refused {
+		return r.openTime
+	}
+	return r.lateEndWindow
+}
+
 // add returns the watch of a run, and whether it is w, which it becomes if there is none.
 func (r *runWatches) add(w *runWatch) (*runWatch, bool) {
 	r.mu.Lock()
@@ -117,7 +135,7 @@
 // the result as long again.
 func (h *Host) watch(w *runWatch) {
 	defer h.runWatches.remove(w)
-	window := time.NewTimer(h.runWatches.lateEndWindow - time.Since(w.endedAt))
+	window := time.NewTimer(h.runWatches.windowOf(w) - time.Since(w.endedAt))
 	defer window.Stop()
 	var unlisted <-chan time.Time // fires if the target is to be checked without news
 	for over := false; !over && w.currentEnd() == historypb.RunEnd_RUN_END_BROKEN; {
@@ -162,9 +180,9 @@
 		h.lastCrashes.record(w.service)
 		h.Meter.Count("runs", "crashed_later")
 		h.Log.Info("target crashed after a run", "request", w.request, "fingerprint", w.fingerprint, "target", w.target.id,
-			"after_ms", time.Since(w.endedAt).Milliseconds(), "reason", w.reason)
+			"after_ms", time.Since(w.endedAt).Milliseconds(), "refused", w.refused, "reason", w.reason)
 	}
 	if !w.answered.Load() {
-		h.storeBrokenRunsLater(w.program, w.retention, &historypb.BrokenRun{Request: w.fingerprint, Target: w.target.id, Born: w.target.startedAtMs, End: end, Generation: w.generation})
+		h.storeBrokenRunsLater(w.program, w.retention, &historypb.BrokenRun{Request: w.fingerprint, Target: w.target.id, Born: w.target.startedAtMs, End: w.recordedEnd(end), Generation: w.generation})
 	}
 }
--- a/daemon/entry/stream.go
+++ b/daemon/entry/stream.go
@@ -175,6 +175,7 @@
 		release()
 		if resp.Answer.NotRun {
 			x.addBrokenRun(t, failure.New(failure.TargetFull, "status %d", resp.Status))
+			x.addRefusal(t, resp)
 			if limit := x.recordBrokenRuns(ctx); limit != nil {
 				return balance.TargetInfo{}, nil, nil, limit
 			}
--- a/daemon/entry/trial.go
+++ b/daemon/entry/trial.go
@@ -37,10 +37,10 @@
 	delete(t.running, fingerprint)
 }
 
-// mayRunBesideOthers reports whether the targets that crashed under the request may have run it at the same time,
-// for several callers.
-func (x *exchange) mayRunBesideOthers() bool {
-	return x.call.Program == "" && x.brokenRuns.CrashGenerations() < ledger.MaxCrashes
+// mayRunBesideOthers reports whether the targets that crashed under runs of the request may have run it at the same
+// time, for several callers.
+func (x *exchange) mayRunBesideOthers(runs *ledger.BrokenRuns) bool {
+	return x.call.Program == "" && runs.CrashGenerations() < ledger.MaxCrashes
 }
 
 // beginTrial puts the request on trial, unless another attempt is on trial at this host; then this one is held back.
