daemon/entry: an unknown route is not found only where the configuration was confirmed lately

A 404 is final; another host would have served the request. Cause: the loss of the platform counts from when a call fails; what was last heard was taken for what is. Change: an unknown route is judged like an unknown key: 503 with a Retry-After if the configuration was last confirmed too long ago. Evidence: the new test fails without the change (404 for 503).

--- a/ctl/roles/customers_test.go
+++ b/ctl/roles/customers_test.go
@@ -55,7 +55,7 @@
 	if !c.requiresKeys {
 		return entry.KeyRules{}
 	}
-	return entry.KeyRules{MaxAge: maxRemovalDelay * 4 / 5, UnknownKeyMaxAge: maxRemovalDelay * 2 / 5}
+	return entry.KeyRules{MaxAge: maxRemovalDelay * 4 / 5, UnknownMaxAge: maxRemovalDelay * 2 / 5}
 }
 
 // sendLoad sends rate calls of a customer per second, through the entry hosts in turn, until
--- a/daemon/cmd/pistachiod/entry.go
+++ b/daemon/cmd/pistachiod/entry.go
@@ -26,7 +26,7 @@
 	host := entry.New(entry.Options{
 		Headers: platform.Headers{}, History: historyClient, Dialer: dialer,
 		DataCentre: set.DataCentre, Regions: set.Regions, MemoryBytes: set.MemoryBytes, Descriptors: set.Descriptors,
-		KeyRules:       entry.KeyRules{MaxAge: set.KeyMaxAge(), UnknownKeyMaxAge: set.UnknownKeyMaxAge()},
+		KeyRules:       entry.KeyRules{MaxAge: set.KeyMaxAge(), UnknownMaxAge: set.UnknownMaxAge()},
 		QuotaTolerance: quota.Tolerance{Window: set.QuotaWindow, Overage: set.QuotaOverage, Slack: set.QuotaSlack},
 		ReadTargetChanges: func(ctx context.Context, revision uint64) (objects.Changes, error) {
 			return store.Watch(ctx, platform.TargetKind, revision, 0)
--- a/daemon/entry/confirm.go
+++ b/daemon/entry/confirm.go
@@ -7,16 +7,16 @@
 	"time"
 )
 
-// KeyRules bounds the age of the configuration by which callers with a key are served. The age
+// KeyRules bounds the age of the configuration by which callers are served or rejected. The age
 // is the time since the platform last confirmed that the configuration was the newest.
 type KeyRules struct {
 	// MaxAge is the largest age at which requests with a key are sent: with an older
 	// configuration, the key may have been revoked. 0 means no bound.
 	MaxAge time.Duration
-	// UnknownKeyMaxAge is the largest age at which an unknown key is rejected as unauthorized.
-	// With an older configuration, the key may be known to other hosts, and the request is
-	// refused as one to retry. 0 means no bound.
-	UnknownKeyMaxAge time.Duration
+	// UnknownMaxAge is the largest age at which a request is rejected for good because its key or
+	// its route is unknown. With an older configuration, they may be known to other hosts, and
+	// the request is refused as one to retry. 0 means no bound.
+	UnknownMaxAge time.Duration
 }
 
 // confirmation is the latest instant at which what a host holds of the platform is known to have been the newest.
@@ -99,6 +99,11 @@
 	return h.now() - time.Duration(h.configConfirmed.at.Load())
 }
 
+// configMayBeOutdated reports whether the configuration is too old to say that a key or a route is unknown.
+func (h *Host) configMayBeOutdated() bool {
+	return h.KeyRules.UnknownMaxAge > 0 && h.confirmedAge() > h.KeyRules.UnknownMaxAge
+}
+
 // staleFor returns how long the configuration has been too old to serve requests with a key; 0
 // if it is not.
 func (h *Host) staleFor() time.Duration {
--- a/daemon/entry/customer.go
+++ b/daemon/entry/customer.go
@@ -22,8 +22,8 @@
 		x.customer, x.customerVersion = customer, table.Version
 		return nil
 	}
-	if age := x.host.confirmedAge(); x.host.KeyRules.UnknownKeyMaxAge > 0 && age > x.host.KeyRules.UnknownKeyMaxAge {
-		return failure.Retry(failure.StaleConfiguration, defaultRetryDelay, "unknown key, configuration last confirmed %d ms ago", age.Milliseconds())
+	if x.host.configMayBeOutdated() {
+		return failure.Retry(failure.StaleConfiguration, defaultRetryDelay, "unknown key, configuration last confirmed %d ms ago", x.host.confirmedAge().Milliseconds())
 	}
 	return failure.New(failure.Unauthorized, "unknown key in configuration version %d", table.Version)
 }
--- a/daemon/entry/customer_test.go
+++ b/daemon/entry/customer_test.go
@@ -99,7 +99,7 @@
 func TestRequestsWithKeysAreRefusedWithStaleConfiguration(t *testing.T) {
 	x := newFakeTarget(t, "t1", answerOK)
 	s := newSystem(t, x)
-	s.host.KeyRules = KeyRules{MaxAge: time.Hour, UnknownKeyMaxAge: time.Minute}
+	s.host.KeyRules = KeyRules{MaxAge: time.Hour, UnknownMaxAge: time.Minute}
 	s.requireKeys(customer("a"))
 	s.host.configConfirmed.at.Store(int64(s.host.now() - 2*time.Hour))
 	require.False(t, s.host.Ready())
@@ -116,19 +116,32 @@
 // since.
 func TestUnknownKeyIsUnauthorizedOnlyWithRecentConfiguration(t *testing.T) {
 	s := newSystem(t, newFakeTarget(t, "t1", answerOK))
-	s.host.KeyRules = KeyRules{MaxAge: time.Hour, UnknownKeyMaxAge: time.Minute}
+	s.host.KeyRules = KeyRules{MaxAge: time.Hour, UnknownMaxAge: time.Minute}
 	s.requireKeys(customer("a"))
 	s.host.configConfirmed.at.Store(int64(s.host.now() - 2*time.Minute))
 	require.Equal(t, http.StatusServiceUnavailable, s.post("/plain/", "", ownheaders.ID, "1", ownheaders.Key, "b-key").status)
 	require.Equal(t, http.StatusOK, s.post("/plain/", "", ownheaders.ID, "2", ownheaders.Key, "a-key").status)
 }
 
+// A host that stood still, or that has not noticed that it hears nothing of the platform, cannot tell that there is no
+// such route.
+func TestUnknownRouteIsNotFoundOnlyWithRecentConfiguration(t *testing.T) {
+	s := newSystem(t)
+	s.host.KeyRules = KeyRules{UnknownMaxAge: time.Minute}
+	s.host.configConfirmed.at.Store(int64(s.host.now() - 2*time.Minute))
+	got := s.post("/new/", "", ownheaders.ID, "1")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.NotEmpty(t, got.header.Get("Retry-After"))
+	s.host.confirmConfig(time.Now())
+	require.Equal(t, http.StatusNotFound, s.post("/new/", "", ownheaders.ID, "2").status)
+}
+
 // During an outage of the platform for all hosts, a request waits for a confirmation and is served
 // once it arrives.
 func TestRequestWaitsForConfirmedConfiguration(t *testing.T) {
 	x := newFakeTarget(t, "t1", answerOK)
 	s := newSystem(t, x)
-	s.host.KeyRules = KeyRules{MaxAge: time.Hour, UnknownKeyMaxAge: time.Minute}
+	s.host.KeyRules = KeyRules{MaxAge: time.Hour, UnknownMaxAge: time.Minute}
 	s.requireKeys(customer("a"))
 	s.host.configConfirmed.at.Store(int64(s.host.now() - 2*time.Hour))
 	answers := make(chan answer)
--- a/daemon/entry/handle.go
+++ b/daemon/entry/handle.go
@@ -202,10 +202,15 @@
 // noRouteFailure returns the failure of a request without a route. A host that may not know the newest
 // configuration does not deny the route: another attempt may find it.
 func (x *exchange) noRouteFailure() error {
-	if x.host.configLost.Load() {
-		return failure.Retry(failure.NoConfiguration, x.host.staleRetryDelay(0), "no route for %s%s in configuration version %d, which may not be the newest", x.r.Host, x.r.URL.Path, x.table.Version)
+	const unknown = "no route for %s%s in configuration version %d"
+	switch {
+	case x.host.configLost.Load():
+		return failure.Retry(failure.NoConfiguration, x.host.staleRetryDelay(0), unknown+", which may not be the newest", x.r.Host, x.r.URL.Path, x.table.Version)
+	case x.host.configMayBeOutdated():
+		return failure.Retry(failure.NoConfiguration, defaultRetryDelay, unknown+", last confirmed %d ms ago", x.r.Host, x.r.URL.Path, x.table.Version, x.host.confirmedAge().Milliseconds())
+	default:
+		return failure.New(failure.NoRoute, unknown, x.r.Host, x.r.URL.Path, x.table.Version)
 	}
-	return failure.New(failure.NoRoute, "no route for %s%s in configuration version %d", x.r.Host, x.r.URL.Path, x.table.Version)
 }
 
 // maxRequestTimeout bounds every request, also if neither the caller nor the route sets a
--- a/daemon/entry/host.go
+++ b/daemon/entry/host.go
@@ -54,7 +54,7 @@
 	// MemoryBytes and Descriptors are the limits of the process; 0 means no limit.
 	MemoryBytes int64
 	Descriptors int
-	// KeyRules bounds the age of the configuration for requests with a key.
+	// KeyRules bounds the age of the configuration by which callers are served or rejected.
 	KeyRules KeyRules
 	// QuotaTolerance is how far customers may exceed their quotas.
 	QuotaTolerance quota.Tolerance
--- a/daemon/settings/role.go
+++ b/daemon/settings/role.go
@@ -136,12 +136,12 @@
 	// on as they arrive, so that without failures a host's confirmation is at most about three
 	// relay timeouts old.
 	relayedKeyWatchFraction, keyWatchFraction = 0.06, 0.12
-	// unknownKeyAgeFraction is the maximum age of a host's configuration for rejecting a key as
+	// unknownAgeFraction is the maximum age of a host's configuration for rejecting a key or a route as
 	// unknown, as a fraction of MaxKeyRemovalDelay.
-	unknownKeyAgeFraction = 0.4
-	// unknownKeyMaxWatches is the same maximum age, in watch timeouts, if removal is not strict: one
+	unknownAgeFraction = 0.4
+	// unknownMaxWatches is the same maximum age, in watch timeouts, if removal is not strict: one
 	// watch for each hop.
-	unknownKeyMaxWatches = 3
+	unknownMaxWatches = 3
 )
 
 // fractionOf returns a fraction of a duration.
@@ -153,13 +153,13 @@
 // no bound.
 func (r *Role) KeyMaxAge() time.Duration { return fractionOf(keyMaxAgeFraction, r.MaxKeyRemovalDelay) }
 
-// UnknownKeyMaxAge returns the maximum age of a host's configuration for rejecting a key as
+// UnknownMaxAge returns the maximum age of a host's configuration for rejecting a key or a route as
 // unknown.
-func (r *Role) UnknownKeyMaxAge() time.Duration {
+func (r *Role) UnknownMaxAge() time.Duration {
 	if r.MaxKeyRemovalDelay > 0 {
-		return fractionOf(unknownKeyAgeFraction, r.MaxKeyRemovalDelay)
+		return fractionOf(unknownAgeFraction, r.MaxKeyRemovalDelay)
 	}
-	return unknownKeyMaxWatches * r.WatchTimeout()
+	return unknownMaxWatches * r.WatchTimeout()
 }
 
 // RelayedConfigWatchTimeout returns how long one watch of the configuration by a relay may wait.
--- a/daemon/settings/role_test.go
+++ b/daemon/settings/role_test.go
@@ -63,7 +63,7 @@
 	require.EqualValues(t, 134<<20, r.MemoryBytes)
 	require.Equal(t, 2, r.ToleratedHostFaults)
 	require.Equal(t, 4*time.Second, r.KeyMaxAge())
-	require.Equal(t, 2*time.Second, r.UnknownKeyMaxAge())
+	require.Equal(t, 2*time.Second, r.UnknownMaxAge())
 	require.Equal(t, 300*time.Millisecond, r.RelayedConfigWatchTimeout())
 	require.Equal(t, 600*time.Millisecond, r.ConfigWatchTimeout())
 	require.Equal(t, 5*time.Second, r.QuotaWindow)
