ctl/roles: requests that may run once and crash targets, red

By reading: crashes are counted of what hosts may repeat. A caller that sends a request again that must not run twice ends a target with each attempt.

--- a/ctl/roles/crash_cases_test.go
+++ b/ctl/roles/crash_cases_test.go
@@ -23,6 +23,8 @@
 	answersFirst int
 	// outsidePrograms reports that the requests do not belong to programs.
 	outsidePrograms bool
+	// onceOnly reports that the requests must not run twice; their callers send them again nevertheless.
+	onceOnly bool
 	// loseEvery makes targets break the connection of every n-th run; 0 for none.
 	loseEvery int
 	// inject adds faults of hosts; nil for none.
@@ -72,6 +74,7 @@
 	{name: "targets that refuse the request and end", crashing: 24, interval: 500 * time.Millisecond, ways: unclearWays[:1]},
 	{name: "targets that refuse the request and end at once", crashing: 24, interval: 500 * time.Millisecond, ways: unclearWays[:1], delays: crashDelays[:1]},
 	{name: "targets that leave the list and end", crashing: 24, interval: 500 * time.Millisecond, ways: unclearWays[1:]},
+	{name: "requests that may run once and crash targets", crashing: 15, interval: 400 * time.Millisecond, onceOnly: true},
 	{name: "requests answered before, in programs", crashing: 24, interval: 400 * time.Millisecond, answersFirst: 1},
 	{name: "requests answered before, outside of programs", crashing: 24, interval: 400 * time.Millisecond, answersFirst: 1, outsidePrograms: true},
 	{name: "requests answered before, targets that end after the request", crashing: 24, interval: 500 * time.Millisecond, ways: lateWays, answersFirst: 3, outsidePrograms: true},
@@ -112,6 +115,9 @@
 // crashRequest returns the n-th request under which targets crash. Turns belong to programs.
 func (cc *crashCase) crashRequest(n int, r *rand.Rand) *repeatedRequest {
 	q := &repeatedRequest{program: fmt.Sprintf("c%d", n), path: repeatablePaths[n%len(repeatablePaths)], body: cc.crashBody(n, r)}
+	if cc.onceOnly {
+		q.path = "/order/"
+	}
 	if cc.outsidePrograms {
 		q.program, q.path = "", sharedPaths[n%len(sharedPaths)]
 	}
--- a/ctl/roles/crashes_test.go
+++ b/ctl/roles/crashes_test.go
@@ -92,6 +92,9 @@
 // repeatablePaths are the paths of requests whose callers repeat them.
 var repeatablePaths = []string{"/turn/", "/stream/", "/look/"}
 
+// streamPaths are the paths of requests that are answered by streams.
+var streamPaths = []string{"/turn/", "/stream/"}
+
 // sharedPaths are the paths of requests outside of programs, which several callers may send.
 var sharedPaths = []string{"/stream/", "/look/"}
 
@@ -167,7 +170,7 @@
 	began, events := "", 0
 	for i := range maxCrashAttempts {
 		headers := map[string]string{}
-		if q.path != "/look/" {
+		if slices.Contains(streamPaths, q.path) {
 			headers[ownheaders.Budget], headers[ownheaders.MaxTokens] = strconv.Itoa(budget), strconv.Itoa(maxTokens)
 		}
 		if strings.Contains(q.body, string(standin.CrashAfterSilence)) {
