daemon/entry: targets that crash under requests that must not run twice are counted

Cause: what is remembered followed from what a host may repeat. The caller's repeats end targets as well. Change: all requests are counted alike.

--- a/daemon/entry/announce.go
+++ b/daemon/entry/announce.go
@@ -38,9 +38,6 @@
 // mustAnnounce reports whether runs of the request are announced. Outside of programs, callers may send the
 // same request at once, and a first run of one of them says nothing of the others.
 func (x *exchange) mustAnnounce() bool {
-	if !x.limitsCrashes() {
-		return false
-	}
 	return x.isSuspect() || x.call.Program != "" && x.host.lastCrashes.isWithin(x.service, announceWindow)
 }
 
--- a/daemon/entry/broken_run.go
+++ b/daemon/entry/broken_run.go
@@ -34,9 +34,7 @@
 
 // addFailedRun notes a run that its target answered with a failure.
 func (x *exchange) addFailedRun(t balance.TargetInfo, status int) {
-	if x.limitsCrashes() {
-		x.newBrokenRuns = append(x.newBrokenRuns, brokenRun{target: t, generation: x.generations[startOf(t)], reason: "status " + strconv.Itoa(status), answered: true})
-	}
+	x.newBrokenRuns = append(x.newBrokenRuns, brokenRun{target: t, generation: x.generations[startOf(t)], reason: "status " + strconv.Itoa(status), answered: true})
 }
 
 // takeBrokenRuns returns the runs noted since the last call.
@@ -76,7 +74,7 @@
 		end = historypb.RunEnd_RUN_END_CRASHED
 		h.lastCrashes.record(x.service)
 		h.Meter.Count("runs", "crashed")
-	} else if x.limitsCrashes() {
+	} else {
 		x.ownWatches = append(x.ownWatches, x.watchRun(x.runKeyOf(run), run.reason, time.Now()))
 	}
 	h.Log.Info("run broken off", "request", x.call.ID, "fingerprint", x.fingerprint, "program", x.call.Program, "route", x.route.Name,
--- a/daemon/entry/broken_run_store.go
+++ b/daemon/entry/broken_run_store.go
@@ -63,17 +63,11 @@
 	if len(broken) == 0 {
 		return nil
 	}
-	if ctx.Err() != nil && x.limitsCrashes() {
+	if ctx.Err() != nil {
 		x.host.background.Go(func() { x.recordGivenUpRuns(broken) })
 		return nil
 	}
 	runs := x.brokenRunList(broken)
-	if !x.limitsCrashes() {
-		runs = slices.DeleteFunc(runs, mayHaveRun)
-	}
-	if len(runs) == 0 {
-		return nil
-	}
 	x.brokenRuns.Merge(runs)
 	if !slices.ContainsFunc(runs, mayHaveRun) {
 		x.host.storeBrokenRunsLater(x.recordProgram(), x.retention(), runs...)
--- a/daemon/entry/crash_limit.go
+++ b/daemon/entry/crash_limit.go
@@ -20,21 +20,19 @@
 // known to have crashed lately. It bounds what the request can do before the first crash.
 const maxOpenRuns = 2 * ledger.MaxCrashes
 
-// limitsCrashes reports whether the targets that crash under the request are counted. A request that
-// must not run twice is not repeated, by this host or its caller.
-func (x *exchange) limitsCrashes() bool { return x.route.Kind != routing.AtMostOnce }
-
 // awaitBrokenRuns reads the broken runs of earlier attempts of a call, and returns the failure of a call
-// that must not be sent. If they cannot be read, the call is sent only if no target of its service has
-// crashed lately as far as the host knows. Of a request that must not run twice only refusals count.
+// that must not be sent. If they cannot be read, a call that may be repeated is sent only if no target of its
+// service has crashed lately as far as the host knows. One that must not run twice is rarely sent again: its
+// broken runs are read only after such a crash, and it is sent if they cannot be.
 func (x *exchange) awaitBrokenRuns(ctx context.Context) error {
 	crashedLately := x.host.lastCrashes.isRecent(x.service)
-	if !x.limitsCrashes() && !crashedLately {
+	onceOnly := x.route.Kind == routing.AtMostOnce
+	if onceOnly && !crashedLately {
 		return nil
 	}
 	if err := x.readBrokenRunsInTime(ctx); err != nil {
 		x.host.Meter.Count("broken_runs", "not_read")
-		if x.limitsCrashes() && crashedLately {
+		if crashedLately && !onceOnly {
 			return failure.Retry(failure.HistoryUnavailable, x.historyRetryDelay(), "broken runs of earlier attempts: %v", err)
 		}
 	}
