--- a/daemon/entry/refusals.go
+++ b/daemon/entry/refusals.go
@@ -7,10 +7,10 @@
 	"github.com/pistachioarch/pistachioarch/wire/targetpool"
 )
 
-// A target may state that it did not run a request, and crash because of it. Such a send is no run and counts against
-// no limit on attempts, so that one attempt could reach every target. Refusals are therefore watched like runs that
-// ended without an answer. They are counted by themselves: a target that is about to crash under one request refuses
-// others, which are not the cause.
+// A target may state that it did not run a request, and crash because of it. Such a send is no run, but it costs a target
+// like one, and callers send what was refused again. Refusals are therefore watched like runs that ended without an
+// answer. They are counted by themselves: a target that is about to crash under one request refuses others, which are not
+// the cause.
 
 // addRefusal notes that a target stated that it did not run the request, unless it was full or is not the one that the
 // request was meant for. Without a report of the target, what this host knows of its load decides.
