wire/orderlyend, wire/targetpool: a reset during an upload does not end an answer

Callers saw: a 200 with the target's signature whose body was only the part that had arrived before the target reset the connection, with a Content-Length of that part, so that nothing showed that it was cut. It took a long upload, which is written beside the reader, and an answer without a length.

Cause: the kernel tells the failure of a connection to the first system call that asks. Where that was the write of the upload, the read after it saw an orderly end, and the end of the connection ended the answer. The error of the write decided only whether the connection can be used again, and might not be known yet when the read ended.

Change: orderlyend.Conn returns io.EOF only if no write has failed. At the end of the reads it stops a write in progress and waits for its error. A write that was merely stopped, or that met a reset after an orderly end (Linux reports EPIPE then, and ECONNRESET without such an end), leaves the end orderly. The same holds for other failures of a connection, such as the time-out of unacknowledged data. The connections to targets are such connections, for plain answers and streams of all kinds of route.

--- a/wire/targetpool/bytecounter.go
+++ b/wire/targetpool/bytecounter.go
@@ -17,7 +17,7 @@
 // Read implements net.Conn. It adds the bytes to the counter of the current exchange. It fails with
 // TooLarge if they belong to a head that exceeds its bounds.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.stream.Read(p)
 	if b := c.bytes; b != nil {
 		b.received.Add(int64(n))
 	}
@@ -29,7 +29,7 @@
 
 // Write implements net.Conn. It adds the bytes to the counter of the current exchange.
 func (c *conn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
+	n, err := c.stream.Write(p)
 	if b := c.bytes; b != nil {
 		b.sent.Add(int64(n))
 	}
--- a/wire/targetpool/pool.go
+++ b/wire/targetpool/pool.go
@@ -8,6 +8,7 @@
 //   - an answer is matched to its request by the ID that it echoes: a late answer to an
 //     earlier request is read and discarded;
 //   - a connection with unread bytes, or whose request was not sent in full, is closed;
+//   - the end of a connection ends an answer without a length only if the connection has not failed;
 //   - the heads of answers, and late answers, are bounded: their bytes are read before a caller of
 //     this package can account for them.
 package targetpool
@@ -22,6 +23,7 @@
 	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/core/request"
 	"github.com/pistachioarch/pistachioarch/wire/headlimit"
+	"github.com/pistachioarch/pistachioarch/wire/orderlyend"
 )
 
 // Dialer opens connections; *net.Dialer implements it.
@@ -64,6 +66,8 @@
 // conn is a connection that serves one request at a time.
 type conn struct {
 	net.Conn
+	// stream reads and writes Conn.
+	stream      orderlyend.Conn
 	address     string
 	in          *bufio.Reader
 	bytes       *ByteCounter // counts the bytes of the current exchange; may be nil
@@ -115,7 +119,7 @@
 	if err != nil {
 		return nil, failure.Wrap(err, failure.TargetFailed, "dial %s", address)
 	}
-	c := &conn{Conn: netConn, address: address, idleTimeout: defaultIdleTimeout, head: headlimit.Limiter{MaxBytes: maxHeadBytes}}
+	c := &conn{Conn: netConn, stream: orderlyend.Conn{Conn: netConn}, address: address, idleTimeout: defaultIdleTimeout, head: headlimit.Limiter{MaxBytes: maxHeadBytes}}
 	c.in = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
