wire/answerhead, wire/targetpool: what is no status is no answer

Callers saw (reported; repeated with the code before): a target sent the status 000 with a body that read like an answer of its own, and the caller got that body's answer as a signed 200. Where the body did not, the request waited for its deadline in place of going to another target, as long as the target left the connection open.

Cause: net/http takes any three bytes that read as a number for a status (000, 099, +20, 600). A status below 200 was then taken for informational: the head was skipped, and what followed it, the body, was read as the next answer.

Change: answerhead.Checker checks the status line while it arrives, as RFC 9112 section 4 has it: version 1.x, three digits from 100 to 599, no control byte in the reason. The pool feeds it with the bytes of each head, those included that were read together with the answer before. A byte that cannot stand there fails the send with bad_answer at once, with an unknown outcome as before, so that the request goes to another target if it may run twice.

--- /dev/null
+++ b/wire/answerhead/answerhead.go
@@ -0,0 +1,126 @@
+// Package answerhead checks the head of an HTTP/1 answer while it arrives. net/http accepts more than RFC 9112
+// allows, and reads what it accepts as if the target had said it.
+package answerhead
+
+import (
+	"github.com/pistachioarch/pistachioarch/core/failure"
+)
+
+// state is the part of a head that the next byte belongs to.
+type state int
+
+const (
+	ended      state = iota // not in a head
+	statusLine              // up to the status code
+	codeEnd                 // right after the status code
+	reason                  // the rest of the status line
+	lineStart
+	line
+)
+
+// statusForm is the start of a status line; a 0 stands for any digit.
+const statusForm = "HTTP/1.0 000"
+
+// codeIndex is the index of the first digit of the status code in statusForm.
+const codeIndex = len(statusForm) - 3
+
+// The first digits of status codes, RFC 9110 section 15.
+const (
+	minStatusClass = '1'
+	maxStatusClass = '5'
+)
+
+// Checker checks one head after another on a connection. It is not safe for concurrent use. The zero value checks
+// nothing until Start.
+type Checker struct {
+	state state
+	// index is the number of bytes of the current line.
+	index int
+	// lastCR is set if the last byte was a carriage return, which only a line feed may follow.
+	lastCR bool
+}
+
+// Start makes the next byte the first one of a head.
+func (c *Checker) Start() { *c = Checker{state: statusLine} }
+
+// Check checks bytes that have arrived, until the head ends. It fails with BadAnswer at the first byte that no head
+// of an answer can have there.
+func (c *Checker) Check(p []byte) error {
+	for _, b := range p {
+		if c.state == ended {
+			return nil
+		}
+		if err := c.next(b); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// next checks one byte.
+func (c *Checker) next(b byte) error {
+	switch {
+	case b == '\n' && c.state != statusLine:
+		c.endLine()
+		return nil
+	case c.lastCR:
+		return failure.New(failure.BadAnswer, "a carriage return inside a line of the head")
+	case b == '\r' && c.state != statusLine:
+		c.lastCR = true
+		return nil
+	}
+	err := c.inLine(b)
+	c.index++
+	return err
+}
+
+// endLine ends a line; an empty one ends the head.
+func (c *Checker) endLine() {
+	if c.state == lineStart {
+		c.state = ended
+		return
+	}
+	*c = Checker{state: lineStart}
+}
+
+// inLine checks a byte of a line other than its end.
+func (c *Checker) inLine(b byte) error {
+	switch c.state {
+	case statusLine:
+		return c.inStatusLine(b)
+	case codeEnd:
+		c.state = reason
+		if b != ' ' {
+			return failure.New(failure.BadAnswer, "byte %q after the status code", b)
+		}
+	case reason:
+		if !isText(b) {
+			return failure.New(failure.BadAnswer, "byte %q in the reason of the status", b)
+		}
+	case lineStart:
+		c.state = line
+	}
+	return nil
+}
+
+// inStatusLine checks a byte of a status line up to the status code.
+func (c *Checker) inStatusLine(b byte) error {
+	expected := statusForm[c.index]
+	isDigit := b >= '0' && b <= '9'
+	switch {
+	case c.index == codeIndex && (b < minStatusClass || b > maxStatusClass):
+		return failure.New(failure.BadAnswer, "a status that begins with %q", b)
+	case expected == '0' && !isDigit, expected != '0' && b != expected:
+		return failure.New(failure.BadAnswer, "byte %q at position %d of the status line", b, c.index)
+	}
+	if c.index == len(statusForm)-1 {
+		c.state = codeEnd
+	}
+	return nil
+}
+
+// isText reports whether a byte may stand in the text of a line: anything but control bytes, except the tab.
+func isText(b byte) bool {
+	const del = 0x7f
+	return b == '\t' || b >= ' ' && b != del
+}
--- a/wire/targetpool/bytecounter.go
+++ b/wire/targetpool/bytecounter.go
@@ -15,13 +15,13 @@
 func (b *ByteCounter) Received() int64 { return b.received.Load() }
 
 // Read implements net.Conn. It adds the bytes to the counter of the current exchange. It fails with
-// TooLarge if they belong to a head that exceeds its bounds.
+// TooLarge or BadAnswer if they belong to a head that exceeds its bounds or is none.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.stream.Read(p)
 	if b := c.bytes; b != nil {
 		b.received.Add(int64(n))
 	}
-	if headErr := c.head.Count(p[:n]); headErr != nil {
+	if headErr := c.checkHead(p[:n]); headErr != nil {
 		return 0, headErr
 	}
 	return n, err
--- a/wire/targetpool/exchange.go
+++ b/wire/targetpool/exchange.go
@@ -193,12 +193,10 @@
 
 // readHead reads the head of the next answer on the connection, within its bounds.
 func (x *exchange) readHead(r *Request) (*http.Response, error) {
-	x.conn.head.Start()
-	defer x.conn.head.Stop()
-	resp, err := http.ReadResponse(x.conn.in, &http.Request{Method: r.Method})
-	var exceeded *failure.Failure
-	if errors.As(err, &exceeded) {
-		return nil, failure.Unknown(failure.BadAnswer, "answer of %s: %s", r.Address, exceeded.Detail)
+	resp, err := x.conn.readHead(r.Method)
+	var rejected *failure.Failure
+	if errors.As(err, &rejected) {
+		return nil, failure.Unknown(failure.BadAnswer, "answer of %s: %s", r.Address, rejected.Detail)
 	}
 	if err != nil {
 		return nil, unknownOutcome(err, "answer of %s", r.Address)
--- a/wire/targetpool/pool.go
+++ b/wire/targetpool/pool.go
@@ -10,7 +10,8 @@
 //   - a connection with unread bytes, or whose request was not sent in full, is closed;
 //   - the end of a connection ends an answer without a length only if the connection has not failed;
 //   - the heads of answers, and late answers, are bounded: their bytes are read before a caller of
-//     this package can account for them.
+//     this package can account for them;
+//   - the heads of answers are checked: net/http accepts heads that are none.
 package targetpool
 
 import (
@@ -22,6 +23,7 @@
 
 	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/core/request"
+	"github.com/pistachioarch/pistachioarch/wire/answerhead"
 	"github.com/pistachioarch/pistachioarch/wire/headlimit"
 	"github.com/pistachioarch/pistachioarch/wire/orderlyend"
 )
@@ -71,7 +73,8 @@
 	address     string
 	in          *bufio.Reader
 	bytes       *ByteCounter // counts the bytes of the current exchange; may be nil
-	head        headlimit.Limiter
+	headBounds  headlimit.Limiter
+	headCheck   answerhead.Checker
 	lastUsed    time.Time     // when the last answer was complete
 	idleTimeout time.Duration // how long the connection may be idle
 }
@@ -119,7 +122,7 @@
 	if err != nil {
 		return nil, failure.Wrap(err, failure.TargetFailed, "dial %s", address)
 	}
-	c := &conn{Conn: netConn, stream: orderlyend.Conn{Conn: netConn}, address: address, idleTimeout: defaultIdleTimeout, head: headlimit.Limiter{MaxBytes: maxHeadBytes}}
+	c := &conn{Conn: netConn, stream: orderlyend.Conn{Conn: netConn}, address: address, idleTimeout: defaultIdleTimeout, headBounds: headlimit.Limiter{MaxBytes: maxHeadBytes}}
 	c.in = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
