wire/answerhead, wire/targetpool: the name of a field is a token

Callers saw (reported; shown): a signed 200 whose head held a line with a blank in its name, that line left out; and a body that was not the target's, where the name of the length or of the coding had a blank before its colon: the body was then read to the end of the connection, or with the chunks' own lines in it.

Cause: net/http accepts blanks in names, keeps such a field under the name with the blank, and so does not see what it says.

Change: answerhead.Checker checks the lines of the head too, as RFC 9110 section 5 and RFC 9112 section 5 have them: a name is a token, a value has no control byte but the tab, a carriage return stands only before a line feed. Continued values and lines that end in a line feed only stay accepted. Fields after the last chunk are checked by their names.

Evidence: on TestAnswerWithMalformedFieldIsNotPassedOn, TestAnswerWithMalformedTrailerIsNotPassedOn and the hedged case fail (a blank in a name: status 200 in place of 502 on a route at most once). Control bytes in names, names that are empty and control bytes in values were rejected before; their cases are kept. TestAnswerWithUnusualFieldsIsPassedOn holds each byte that a name may have, and passed before.

--- a/Makefile
+++ b/Makefile
@@ -48,6 +48,7 @@
 	cd core && $(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime 20s ./journal
 	cd wire && $(GO) test -run '^$$' -fuzz FuzzRead -fuzztime 20s ./frame
 	cd wire && $(GO) test -run '^$$' -fuzz FuzzApply -fuzztime 20s ./delta
+	cd wire && $(GO) test -run '^$$' -fuzz FuzzCheck -fuzztime 20s ./answerhead
 	cd daemon && $(GO) test -run '^$$' -fuzz FuzzParse -fuzztime 20s ./settings
 	cd daemon && $(GO) test -run '^$$' -fuzz FuzzReplay -fuzztime 20s ./wal
 	cd daemon && $(GO) test -run '^$$' -fuzz FuzzEvents -fuzztime 20s ./entry
--- a/daemon/entry/malformed_answer_test.go
+++ b/daemon/entry/malformed_answer_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -54,25 +55,71 @@
 	}
 }
 
+// withLine adds a line to the head of an answer.
+func withLine(line string) func(string) string {
+	return func(answer string) string {
+		return strings.Replace(answer, signatureLine, signatureLine+line+"\r\n", 1)
+	}
+}
+
+// withBlankInLength puts a blank before the colon of the field that tells how the body ends.
+func withBlankInLength(answer string) string {
+	return strings.NewReplacer("Content-Length:", "Content-Length :", "Transfer-Encoding:", "Transfer-Encoding :").Replace(answer)
+}
+
+// An answer in whose head the name of a field is none must not be passed on, neither without that line nor with a body
+// that the line would have ended elsewhere.
+func TestAnswerWithMalformedFieldIsNotPassedOn(t *testing.T) {
+	for name, spoil := range map[string]func(string) string{
+		"blank in a name": withLine("X-Note more: a"), "tab in a name": withLine("X-Note\t: a"), "control byte in a name": withLine("X-No\x01te: a"),
+		"no name": withLine(": a"), "control byte in a value": withLine("X-Note: a\x01"), "carriage return in a value": withLine("X-Note: a\rb"),
+		"blank after the name of the length": withBlankInLength,
+	} {
+		requireNotPassedOn(t, name, spoil)
+	}
+}
+
+// A field after the last chunk of a body must be as sound as those of the head.
+func TestAnswerWithMalformedTrailerIsNotPassedOn(t *testing.T) {
+	chunked := func(id string) string {
+		return strings.Replace(okAnswer(id, "5\r\nwhole\r\n0\r\nX-Note more: a\r\n\r\n"), "Content-Length: 31", "Transfer-Encoding: chunked", 1)
+	}
+	require.Contains(t, chunked("1"), "chunked")
+	s := newSystem(t, newFakeTarget(t, "t1", func(_ int, _ received, id string) (string, bool) { return chunked(id), false }))
+	require.Equal(t, http.StatusBadGateway, s.post("/once/", "x", ownheaders.ID, "1").status)
+}
+
+// Each name that the RFC allows must reach the caller with its value.
+func TestAnswerWithUnusualFieldsIsPassedOn(t *testing.T) {
+	const name = "!#$%&'*+-.^_`|~1"
+	for _, lines := range []string{name + ": a b", name + ":\ta\r\n b\t", strings.ToUpper(name) + ":a b"} {
+		s := newSystem(t, newFakeTarget(t, "t1", func(_ int, _ received, id string) (string, bool) {
+			return withLine(lines)(okAnswer(id, "whole")), false
+		}))
+		got := s.post("/once/", "x", ownheaders.ID, "1")
+		require.Equal(t, http.StatusOK, got.status)
+		require.Equal(t, "whole", got.body)
+		require.Equal(t, []string{"a b"}, got.header[name])
+	}
+}
+
 // A call that is sent a second time must not get the malformed answer that arrives first.
 func TestMalformedAnswerDoesNotWinHedgedCall(t *testing.T) {
 	for name, spoil := range map[string]func(string) string{
-		"status": withStatus("000 x"),
+		"status": withStatus("000 x"), "blank in a name": withLine("X-Note more: a"),
 	} {
 		t.Run(name, func(t *testing.T) {
 			release := make(chan struct{})
-			answer, _ := spoilFirst(func(a string) string { <-release; return a }, func(id string) string { return okAnswer(id, "whole") })
-			spoiled := func(n int, r received, id string) (string, bool) {
-				raw, closes := answer(n, r, id)
-				select {
-				case <-release:
-				default:
-					defer close(release)
-					return spoil(raw), closes
+			requestCount := &atomic.Int32{}
+			answer := func(_ int, _ received, id string) (string, bool) {
+				if requestCount.Add(1) == 1 {
+					<-release
+					return okAnswer(id, "whole"), false
 				}
-				return raw, closes
+				defer close(release)
+				return spoil(okAnswer(id, "forged")), false
 			}
-			s := newSystem(t, newFakeTarget(t, "t1", spoiled), newFakeTarget(t, "t2", spoiled))
+			s := newSystem(t, newFakeTarget(t, "t1", answer), newFakeTarget(t, "t2", answer))
 			s.enableHedging(5)
 			got := s.post("/plain/", "x", ownheaders.ID, "1")
 			require.Equal(t, http.StatusOK, got.status)
--- a/wire/answerhead/answerhead.go
+++ b/wire/answerhead/answerhead.go
@@ -3,6 +3,8 @@
 package answerhead
 
 import (
+	"strings"
+
 	"github.com/pistachioarch/pistachioarch/core/failure"
 )
 
@@ -10,12 +12,14 @@
 type state int
 
 const (
-	ended      state = iota // not in a head
-	statusLine              // up to the status code
-	codeEnd                 // right after the status code
-	reason                  // the rest of the status line
-	lineStart
-	line
+	ended          state = iota // not in a head
+	statusLine                  // up to the status code
+	codeEnd                     // right after the status code
+	reason                      // the rest of the status line
+	firstLineStart              // a field or the end of the head
+	lineStart                   // the same, or the continuation of a field
+	name
+	value
 )
 
 // statusForm is the start of a status line; a 0 stands for any digit.
@@ -60,12 +64,12 @@
 // next checks one byte.
 func (c *Checker) next(b byte) error {
 	switch {
-	case b == '\n' && c.state != statusLine:
+	case b == '\n' && c.mayEndLine():
 		c.endLine()
 		return nil
 	case c.lastCR:
 		return failure.New(failure.BadAnswer, "a carriage return inside a line of the head")
-	case b == '\r' && c.state != statusLine:
+	case b == '\r' && c.mayEndLine():
 		c.lastCR = true
 		return nil
 	}
@@ -74,13 +78,19 @@
 	return err
 }
 
+// mayEndLine reports whether a line may end before the next byte.
+func (c *Checker) mayEndLine() bool { return c.state != statusLine && c.state != name }
+
 // endLine ends a line; an empty one ends the head.
 func (c *Checker) endLine() {
-	if c.state == lineStart {
-		c.state = ended
-		return
+	switch c.state {
+	case firstLineStart, lineStart:
+		*c = Checker{state: ended}
+	case codeEnd, reason:
+		*c = Checker{state: firstLineStart}
+	default:
+		*c = Checker{state: lineStart}
 	}
-	*c = Checker{state: lineStart}
 }
 
 // inLine checks a byte of a line other than its end.
@@ -97,12 +107,38 @@
 		if !isText(b) {
 			return failure.New(failure.BadAnswer, "byte %q in the reason of the status", b)
 		}
-	case lineStart:
-		c.state = line
+	case firstLineStart, lineStart, name:
+		return c.inName(b)
+	case value:
+		if !isText(b) {
+			return failure.New(failure.BadAnswer, "byte %q in the value of a field", b)
+		}
+	}
+	return nil
+}
+
+// inName checks a byte of the name of a field, or the blank with which a line continues the value before it.
+func (c *Checker) inName(b byte) error {
+	switch {
+	case isNameByte(b):
+		c.state = name
+	case c.state == name && b == ':', c.state == lineStart && (b == ' ' || b == '\t'):
+		c.state = value
+	default:
+		return failure.New(failure.BadAnswer, "byte %q in the name of a field", b)
 	}
 	return nil
 }
 
+// isNameByte reports whether a byte may stand in the name of a field, a token of RFC 9110 section 5.6.2.
+func isNameByte(b byte) bool {
+	switch {
+	case b >= 'a' && b <= 'z', b >= 'A' && b <= 'Z', b >= '0' && b <= '9':
+		return true
+	}
+	return strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+}
+
 // inStatusLine checks a byte of a status line up to the status code.
 func (c *Checker) inStatusLine(b byte) error {
 	expected := statusForm[c.index]
@@ -124,3 +160,16 @@
 	const del = 0x7f
 	return b == '\t' || b >= ' ' && b != del
 }
+
+// CheckNames fails with BadAnswer if one of the names of fields that net/http has accepted is none. It is for fields
+// that were not checked while they arrived.
+func CheckNames(fields map[string][]string) error {
+	for name := range fields {
+		for i := range len(name) {
+			if !isNameByte(name[i]) {
+				return failure.New(failure.BadAnswer, "byte %q in the name of a field", name[i])
+			}
+		}
+	}
+	return nil
+}
--- a/wire/answerhead/answerhead_test.go
+++ b/wire/answerhead/answerhead_test.go
@@ -1,7 +1,10 @@
 package answerhead
 
 import (
+	"bufio"
+	"bytes"
 	"math/rand/v2"
+	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -57,3 +60,68 @@
 	require.True(t, ended)
 	require.NoError(t, new(Checker).Check([]byte("\x00")))
 }
+
+const okLine = "HTTP/1.1 200 OK\r\n"
+
+// Each name that RFC 9110 allows must be accepted, and so must continued values and lines that end in a line feed only.
+func TestFieldsAreAccepted(t *testing.T) {
+	checkAll(t, []string{
+		okLine + "X-Note: a\r\n\r\n", okLine + "!#$%&'*+-.^_`|~09azAZ: a\r\n\r\n", okLine + "_:a\r\n\r\n", okLine + "1:\r\n\r\n", okLine + "\r\n",
+		okLine + "A: b\r\n c\r\n\td: e\r\n\r\n", okLine + "A: b\n\n", okLine + "A:\tb \xe9:\t\r\n\r\n", okLine + "A: b\r\n \r\n\r\n", okLine + "A: \x80\xff\r\n\r\n",
+	}, true)
+}
+
+// A name with a blank or a control byte is none: net/http would read another field than the target meant.
+func TestFieldsAreRejected(t *testing.T) {
+	checkAll(t, []string{
+		okLine + "X-Note more: a", okLine + "Content-Length : 41", okLine + "X-Note\t: a", okLine + "X-No\x01te: a", okLine + "X-No\x00te: a", okLine + "X-No\x7fte: a",
+		okLine + "X-No\xe9te: a", okLine + ": a", okLine + "X-Note\r\n", okLine + "X-Note\n", okLine + " X-Note: a", okLine + "\tX-Note: a",
+		okLine + "X(a): b", okLine + "X@a: b", okLine + "\"X\": b", okLine + "A: b\x00", okLine + "A: b\x01", okLine + "A: b\x7f", okLine + "A: b\rc", okLine + "A: b\r\r\n",
+		okLine + "A: b\r\n\r\r\n", okLine + "A: b\r\n c\x01",
+	}, false)
+}
+
+func TestNamesAreChecked(t *testing.T) {
+	require.NoError(t, CheckNames(http.Header{"X-Note": nil, "!#$%&'*+-.^_`|~": nil}))
+	require.NoError(t, CheckNames(nil))
+	require.True(t, failure.Is(CheckNames(http.Header{"X-Note": nil, "X-Note more": nil}), failure.BadAnswer))
+}
+
+// headLength returns the length of the head at the start of text, and whether there is one.
+func headLength(text []byte) (int, bool) {
+	var c Checker
+	c.Start()
+	for i := range text {
+		if c.Check(text[i:i+1]) != nil {
+			return 0, false
+		}
+		if c.state == ended {
+			return i + 1, true
+		}
+	}
+	return 0, false
+}
+
+// net/http must see the end of a head where the Checker sees it, a status of three digits and nothing but sound names.
+func FuzzCheck(f *testing.F) {
+	for _, head := range []string{
+		okLine + "A: b\r\n c\r\n\r\nrest", "HTTP/1.0 404 Not Found\nA: b\n\nrest", okLine + "A: b\r\n \r\n\r\n", okLine + "\r\n\r\n", okLine + "a:b\r\nA:c\n\r\nx",
+		okLine + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "HTTP/1.1 000 x\r\n\r\n", okLine + "X-Note more: a\r\n\r\n",
+	} {
+		f.Add([]byte(head))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		n, ok := headLength(text)
+		if !ok {
+			return
+		}
+		in := bufio.NewReaderSize(bytes.NewReader(text), len(text)+16)
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			return // not all that the Checker accepts is an answer, such as a length that is no number
+		}
+		require.Equal(t, len(text)-n, in.Buffered())
+		require.True(t, resp.StatusCode >= 100 && resp.StatusCode < 600)
+		require.NoError(t, CheckNames(resp.Header))
+	})
+}
--- a/wire/targetpool/exchange.go
+++ b/wire/targetpool/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/core/request"
+	"github.com/pistachioarch/pistachioarch/wire/answerhead"
 )
 
 // Request is one request to a target.
@@ -185,7 +186,7 @@
 		}
 		return &Response{
 			Status: resp.StatusCode, Header: resp.Header, Answer: answer,
-			Body: &body{x: x, source: resp.Body, closeAfter: resp.Close},
+			Body: &body{x: x, resp: resp},
 		}, nil
 	}
 	return nil, failure.Unknown(failure.BadAnswer, "only answers to other requests from %s", r.Address)
@@ -219,19 +220,22 @@
 
 // body is the body of an answer. Reading it to its end returns the connection to the pool.
 type body struct {
-	x          *exchange
-	source     io.ReadCloser
-	closeAfter bool // whether the target closes the connection after this answer
-	ended      bool
+	x     *exchange
+	resp  *http.Response
+	ended bool
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. It returns io.EOF only if the body has ended well, with the fields that follow it.
 func (b *body) Read(p []byte) (int, error) {
-	n, err := b.source.Read(p)
-	if err == io.EOF {
-		b.finish()
+	n, err := b.resp.Body.Read(p)
+	if err != io.EOF {
+		return n, err
 	}
-	return n, err
+	if trailerErr := answerhead.CheckNames(b.resp.Trailer); trailerErr != nil {
+		return n, trailerErr
+	}
+	b.finish()
+	return n, io.EOF
 }
 
 func (b *body) finish() {
@@ -245,7 +249,7 @@
 	default:
 		reusable = false
 	}
-	if !reusable || b.closeAfter || !b.x.sentInFull || b.x.conn.in.Buffered() > 0 {
+	if !reusable || b.resp.Close || !b.x.sentInFull || b.x.conn.in.Buffered() > 0 {
 		_ = b.x.conn.Close()
 		return
 	}
