--- a/daemon/entry/malformed_answer_test.go
+++ b/daemon/entry/malformed_answer_test.go
@@ -1,8 +1,11 @@
 package entry
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -109,17 +112,26 @@
 		"status": withStatus("000 x"), "blank in a name": withLine("X-Note more: a"),
 	} {
 		t.Run(name, func(t *testing.T) {
-			release := make(chan struct{})
+			rejected := make(chan struct{})
 			requestCount := &atomic.Int32{}
-			answer := func(_ int, _ received, id string) (string, bool) {
-				if requestCount.Add(1) == 1 {
-					<-release
-					return okAnswer(id, "whole"), false
+			answer := func(id string) string {
+				if requestCount.Add(1) == 2 {
+					return spoil(okAnswer(id, "forged"))
 				}
-				defer close(release)
-				return spoil(okAnswer(id, "forged")), false
+				select {
+				case <-rejected:
+				case <-t.Context().Done():
+				}
+				return okAnswer(id, "whole")
 			}
-			s := newSystem(t, newFakeTarget(t, "t1", answer), newFakeTarget(t, "t2", answer))
+			var closed sync.Once
+			end := func(c *net.TCPConn) {
+				_, _ = io.Copy(io.Discard, c) // until the host closes the connection
+				closed.Do(func() { close(rejected) })
+			}
+			s := newSystem(t)
+			s.addUnreadTarget("t1", answer, end)
+			s.addUnreadTarget("t2", answer, end)
 			s.enableHedging(5)
 			got := s.post("/plain/", "x", ownheaders.ID, "1")
 			require.Equal(t, http.StatusOK, got.status)
