wire/answerhead: a head that contradicts itself is no answer

Found by looking for the class; callers would have seen: a signed 204 in place of a 200's body that came with it; the body of an informational answer served as the answer, signed, where the informational one had a length; with HTTP/1.0 and a transfer coding the lines of the chunks inside the body; a stream with both a length and a coding, of which either may be the true end; and no answer until the deadline after a 101, which nothing asks for.

Cause: where the head says two things, net/http follows one and drops the other.

Change: at the end of the head the Checker rejects a 101, a body of a 1xx or 204 (a length that is not zero, or a coding), a coding beside a length, and a coding in HTTP/1.0 (RFC 9110 section 15.2, RFC 9112 section 6). A length of zero with these statuses, equal lengths given twice, a 304 with a length and informational answers before the answer are as before.

--- a/daemon/entry/malformed_answer_test.go
+++ b/daemon/entry/malformed_answer_test.go
@@ -92,6 +92,42 @@
 	require.Equal(t, http.StatusBadGateway, s.post("/once/", "x", ownheaders.ID, "1").status)
 }
 
+// withLengthAndCoding adds the field that an answer does not have: its length, or its coding in chunks.
+func withLengthAndCoding(answer string) string {
+	if strings.Contains(answer, "Content-Length") {
+		return withLine("Transfer-Encoding: chunked")(answer)
+	}
+	return withLine("Content-Length: 5")(answer)
+}
+
+// An answer whose head contradicts itself must not be passed on: where its body ends is not certain.
+func TestAnswerWithContradictoryHeadIsNotPassedOn(t *testing.T) {
+	for name, spoil := range map[string]func(string) string{
+		"length and coding":      withLengthAndCoding,
+		"another protocol":       withStatus("101 x"),
+		"no content, but a body": withStatus("204 x"),
+		"informational, with an answer as its body": func(string) string {
+			return withStatus("103 x")(okAnswer("1", okAnswer("1", "forged")))
+		},
+		"coding that the version does not have": func(a string) string {
+			return withLengthAndCoding(strings.Replace(a, "HTTP/1.1", "HTTP/1.0", 1))
+		},
+	} {
+		requireNotPassedOn(t, name, spoil)
+	}
+}
+
+// An answer after informational ones, and one without content, must be passed on.
+func TestAnswerWithoutContentIsPassedOn(t *testing.T) {
+	const informational = "HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+	s := newSystem(t, newFakeTarget(t, "t1", func(_ int, _ received, id string) (string, bool) {
+		return informational + withStatus("204 No Content")(okAnswer(id, "")), false
+	}))
+	got := s.post("/once/", "x", ownheaders.ID, "1")
+	require.Equal(t, http.StatusNoContent, got.status)
+	require.NotEmpty(t, got.header.Get(ownheaders.Signature))
+}
+
 // Each name that the RFC allows must reach the caller with its value.
 func TestAnswerWithUnusualFieldsIsPassedOn(t *testing.T) {
 	const name = "!#$%&'*+-.^_`|~1"
--- a/wire/answerhead/answerhead.go
+++ b/wire/answerhead/answerhead.go
@@ -37,7 +37,8 @@
 // Checker checks one head after another on a connection. It is not safe for concurrent use. The zero value checks
 // nothing until Start.
 type Checker struct {
-	state state
+	state   state
+	framing framing
 	// index is the number of bytes of the current line.
 	index int
 	// lastCR is set if the last byte was a carriage return, which only a line feed may follow.
@@ -45,7 +46,9 @@
 }
 
 // Start makes the next byte the first one of a head.
-func (c *Checker) Start() { *c = Checker{state: statusLine} }
+func (c *Checker) Start() {
+	*c = Checker{state: statusLine, framing: framing{name: c.framing.name[:0]}}
+}
 
 // Check checks bytes that have arrived, until the head ends. It fails with BadAnswer at the first byte that no head
 // of an answer can have there.
@@ -65,8 +68,7 @@
 func (c *Checker) next(b byte) error {
 	switch {
 	case b == '\n' && c.mayEndLine():
-		c.endLine()
-		return nil
+		return c.endLine()
 	case c.lastCR:
 		return failure.New(failure.BadAnswer, "a carriage return inside a line of the head")
 	case b == '\r' && c.mayEndLine():
@@ -82,15 +84,18 @@
 func (c *Checker) mayEndLine() bool { return c.state != statusLine && c.state != name }
 
 // endLine ends a line; an empty one ends the head.
-func (c *Checker) endLine() {
+func (c *Checker) endLine() error {
+	c.index, c.lastCR = 0, false
 	switch c.state {
 	case firstLineStart, lineStart:
-		*c = Checker{state: ended}
+		c.state = ended
+		return c.framing.check()
 	case codeEnd, reason:
-		*c = Checker{state: firstLineStart}
+		c.state = firstLineStart
 	default:
-		*c = Checker{state: lineStart}
+		c.state = lineStart
 	}
+	return nil
 }
 
 // inLine checks a byte of a line other than its end.
@@ -113,6 +118,7 @@
 		if !isText(b) {
 			return failure.New(failure.BadAnswer, "byte %q in the value of a field", b)
 		}
+		c.framing.addValueByte(b)
 	}
 	return nil
 }
@@ -122,7 +128,11 @@
 	switch {
 	case isNameByte(b):
 		c.state = name
-	case c.state == name && b == ':', c.state == lineStart && (b == ' ' || b == '\t'):
+		c.framing.addNameByte(b)
+	case c.state == name && b == ':':
+		c.state = value
+		c.framing.endName()
+	case c.state == lineStart && (b == ' ' || b == '\t'):
 		c.state = value
 	default:
 		return failure.New(failure.BadAnswer, "byte %q in the name of a field", b)
@@ -149,6 +159,7 @@
 	case expected == '0' && !isDigit, expected != '0' && b != expected:
 		return failure.New(failure.BadAnswer, "byte %q at position %d of the status line", b, c.index)
 	}
+	c.framing.addStatusByte(c.index, b)
 	if c.index == len(statusForm)-1 {
 		c.state = codeEnd
 	}
--- a/wire/answerhead/answerhead_test.go
+++ b/wire/answerhead/answerhead_test.go
@@ -81,6 +81,21 @@
 	}, false)
 }
 
+// A head that contradicts itself does not tell where its body ends.
+func TestContradictoryHeadsAreRejected(t *testing.T) {
+	const length, coding = "Content-Length: 41\r\n", "transfer-encoding: chunked\r\n"
+	checkAll(t, []string{
+		"HTTP/1.1 103 x\r\n" + length + "\r\n", "HTTP/1.1 100 x\r\n" + coding + "\r\n", "HTTP/1.1 101 x\r\nUpgrade: x\r\n\r\n",
+		"HTTP/1.1 204 x\r\n" + length + "\r\n", "HTTP/1.1 204 x\r\n" + coding + "\r\n", okLine + length + coding + "\r\n", okLine + coding + "A: b\r\n" + length + "\r\n",
+		"HTTP/1.0 200 x\r\n" + coding + "\r\n", "HTTP/1.1 204 x\r\nCONTENT-LENGTH:\r\n 1\r\n\r\n",
+	}, false)
+	checkAll(t, []string{
+		"HTTP/1.1 103 x\r\nLink: 1\r\n\r\n", "HTTP/1.1 100 x\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 204 x\r\nContent-Length: 0\r\n\r\n", "HTTP/1.0 200 x\r\n" + length + "\r\n",
+		okLine + length + "\r\n", okLine + coding + "\r\n", okLine + length + length + "\r\n", "HTTP/1.1 304 x\r\n" + length + "\r\n", "HTTP/1.1 205 x\r\n" + length + "\r\n",
+		okLine + "X-Content-Length: 1\r\nContent-Lengths: 1\r\nTransfer-Encoding2: 1\r\n" + length + "\r\n",
+	}, true)
+}
+
 func TestNamesAreChecked(t *testing.T) {
 	require.NoError(t, CheckNames(http.Header{"X-Note": nil, "!#$%&'*+-.^_`|~": nil}))
 	require.NoError(t, CheckNames(nil))
