wire/targetpool: an answer that no other can follow ends the request

Found by looking for the class; callers would have seen 504 at their deadline in place of another target's answer, or of a 502 at once: a target answered as if it had got another request, in a way after which no answer to this one can come, and left the connection open. And a HEAD could be answered by the body of a late answer to another request, which was read as an answer of its own.

Cause: each answer with another request's ID was skipped, and the next one waited for.

Change: it is skipped only where another can follow: not after one without a length or with Connection: close, not for HEAD, as the length of a body that may follow is not known, and not on the first request of a connection, which can have no late answer, unless more has arrived already.

The cases of garbage_test.go with late answers now use a connection that was used before, where these can come; their bounds are as they were, and one more status line is bounded.

--- a/wire/targetpool/exchange.go
+++ b/wire/targetpool/exchange.go
@@ -69,7 +69,7 @@
 		}
 	}
 	c.bytes = r.Bytes
-	x := &exchange{pool: p, conn: c, sendDone: make(chan struct{})}
+	x := &exchange{pool: p, conn: c, reused: reused, sendDone: make(chan struct{})}
 	x.stopWatching = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := x.send(r); err != nil {
 		x.abort()
@@ -113,6 +113,8 @@
 type exchange struct {
 	pool *Pool
 	conn *conn
+	// reused is set if the connection has served another request before.
+	reused bool
 	// stopWatching ends the watch of the context; it returns false if the context has ended
 	// before.
 	stopWatching func() bool
@@ -176,7 +178,7 @@
 		}
 		answer := decode(resp.StatusCode, resp.Header)
 		if answer.ID != "" && answer.ID != r.ID {
-			if err := skipBody(resp.Body, r.Address); err != nil {
+			if err := x.skipLateAnswer(resp, r); err != nil {
 				return nil, err
 			}
 			continue
@@ -205,15 +207,25 @@
 	return resp, nil
 }
 
-// skipBody reads the body of a late answer. It fails if that is too long to be skipped: what follows would
-// be taken for the next answer.
-func skipBody(body io.Reader, address string) error {
-	n, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBodyBytes+1))
+// skipLateAnswer reads the body of an answer to another request. It fails if no answer to this one can follow, or if
+// it is not certain where it would begin: what follows would be taken for the next answer.
+func (x *exchange) skipLateAnswer(resp *http.Response, r *Request) error {
+	switch {
+	case resp.Close:
+		return failure.Unknown(failure.BadAnswer, "%s closes the connection after an answer to another request", r.Address)
+	case r.Method == http.MethodHead:
+		return failure.Unknown(failure.BadAnswer, "an answer of %s to another request, which may have a body", r.Address)
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBodyBytes+1))
 	if err != nil {
-		return unknownOutcome(err, "late answer of %s", address)
+		return unknownOutcome(err, "late answer of %s", r.Address)
 	}
 	if n > maxSkippedBodyBytes {
-		return failure.Unknown(failure.BadAnswer, "late answer of %s exceeds %d bytes", address, maxSkippedBodyBytes)
+		return failure.Unknown(failure.BadAnswer, "late answer of %s exceeds %d bytes", r.Address, maxSkippedBodyBytes)
+	}
+	if !x.reused && x.conn.in.Buffered() == 0 {
+		// No earlier request can be meant: the target took this one for another.
+		return failure.Unknown(failure.BadAnswer, "%s answers the first request of a connection as another one", r.Address)
 	}
 	return nil
 }
--- a/wire/targetpool/garbage_test.go
+++ b/wire/targetpool/garbage_test.go
@@ -29,6 +29,7 @@
 	const head = "HTTP/1.1 200 OK\r\nId: 1\r\n"
 	for name, raw := range map[string]string{
 		"one line":                       repeated("x"),
+		"one status line":                "HTTP/1.1 200 " + repeated("x"),
 		"one header line":                head + "X: " + repeated("x"),
 		"many header lines":              head + repeated("a: b\r\n"),
 		"many continued lines":           head + "X: y\r\n" + repeated(" z\r\n"),
@@ -41,11 +42,16 @@
 		"late answer with long trailers": "HTTP/1.1 200 OK\r\nId: 0\r\nTrailer: A\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + repeated("A: b\r\n"),
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := serveOnce(t, raw)
+			s := serve(t, answer("0", "x"), raw)
+			p := New(&net.Dialer{})
+			defer p.Close()
+			_, err := roundTrip(t, p, s.request("0")) // late answers come on a connection that was used before
+			require.NoError(t, err)
 			r := s.request("1")
 			r.Bytes = &ByteCounter{}
-			_, err := New(&net.Dialer{}).Do(t.Context(), r, decode)
+			_, err = p.Do(t.Context(), r, decode)
 			require.Error(t, err)
+			require.Equal(t, 1, s.opened())
 			require.Equal(t, failure.RanUnknown, failure.From(err).Ran)
 			require.LessOrEqual(t, r.Bytes.Received(), int64(maxUnaccountedBytes))
 		})
@@ -58,7 +64,11 @@
 		"one line": repeated("x"), "many lines": "HTTP/1.1 200 OK\r\n" + repeated("a: b\r\n"),
 		"long late answer": fmt.Sprintf("HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: %d\r\n\r\n", garbageBytes) + repeated("x"),
 	} {
-		_, err := New(&net.Dialer{}).Do(t.Context(), serveOnce(t, raw).request("1"), decode)
+		s := serve(t, answer("0", "x"), raw)
+		p := New(&net.Dialer{})
+		_, err := roundTrip(t, p, s.request("0"))
+		require.NoError(t, err)
+		_, err = p.Do(t.Context(), s.request("1"), decode)
 		require.True(t, failure.Is(err, failure.BadAnswer), "%s: %v", name, err)
 	}
 }
