wire/targetpool: an answer without an ID is not taken on a connection that was used before

Found by looking for the class: a target's late answer to an earlier request that names no request, with any status but a success, was taken for the answer to the next request on that connection: its status reached the wrong caller, and a refusal in it said that a request had not run which may be running.

Cause: only a success was required to name its request; the rest was matched by an ID if there was one.

Change: on a connection that has served a request, an answer without an ID fails the send with bad_answer and an unknown outcome. On a new connection there is no earlier request, and nothing changes.

Evidence: TestAnswerWithoutIDIsNotTakenOnUsedConnection fails on the code before, as no error is returned.

--- a/wire/targetpool/exchange.go
+++ b/wire/targetpool/exchange.go
@@ -177,6 +177,9 @@
 			continue
 		}
 		answer := decode(resp.StatusCode, resp.Header)
+		if answer.ID == "" && x.reused {
+			return nil, failure.Unknown(failure.BadAnswer, "answer of %s without an ID, which may be to an earlier request", r.Address)
+		}
 		if answer.ID != "" && answer.ID != r.ID {
 			if err := x.skipLateAnswer(resp, r); err != nil {
 				return nil, err
--- a/wire/targetpool/late_test.go
+++ b/wire/targetpool/late_test.go
@@ -61,3 +61,22 @@
 	_, err = p.Do(t.Context(), r, decode)
 	require.True(t, failure.Is(err, failure.BadAnswer), "%v", err)
 }
+
+// An answer without an ID may be a late one to an earlier request of its connection: neither its status nor that a
+// request did not run may be taken for this one. On a new connection there is no earlier request.
+func TestAnswerWithoutIDIsNotTakenOnUsedConnection(t *testing.T) {
+	for _, raw := range []string{"HTTP/1.1 404 x\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n"} {
+		s := serve(t, answer("0", "x"), raw)
+		p := New(&net.Dialer{})
+		defer p.Close()
+		_, err := roundTrip(t, p, s.request("0"))
+		require.NoError(t, err)
+		_, err = p.Do(t.Context(), s.request("1"), decode)
+		require.True(t, failure.Is(err, failure.BadAnswer), "%v", err)
+		require.Equal(t, failure.RanUnknown, failure.From(err).Ran)
+		require.Equal(t, 1, s.opened())
+
+		_, err = roundTrip(t, New(&net.Dialer{}), serve(t, raw).request("1"))
+		require.NoError(t, err)
+	}
+}
