--- a/wire/answerhead/answerhead.go
+++ b/wire/answerhead/answerhead.go
@@ -34,6 +34,9 @@
 	maxStatusClass = '5'
 )
 
+// MaxStatus is the largest status code, RFC 9110 section 15.
+const MaxStatus = 599
+
 // Checker checks one head after another on a connection. It is not safe for concurrent use. The zero value checks
 // nothing until Start.
 type Checker struct {
