daemon/node, wire/target: the owner of a program takes only whole, well-formed answers of targets and the platform

Found in the other readers of answers: the client of the hosts that own programs is net/http's own. A status of 000 or 600 counted as a refusal of the call for good, which the target had not given; a blank in a name passed; a redirect sent the call to another host, and one that refused the connection made a call count as not run that the first may have run; and, as in the entry role, the end of a connection that has failed could end a plain answer.

Change: the node's client is one of httpclient.New.

Evidence: with net/http's client TestMalformedAnswerLosesTarget fails (000: outcome 4, invalid, in place of 2, lost). TestResetDuringUploadLosesTarget did not fail with it in 100 calls, so that fault is shown for this reader only by TestResetDuringUploadIsFailure of package httpclient, which fails without orderlyend.

--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -17,6 +17,7 @@
 
 	"github.com/pistachioarch/pistachioarch/core/host"
 	"github.com/pistachioarch/pistachioarch/daemon/settings"
+	"github.com/pistachioarch/pistachioarch/wire/httpclient"
 	"github.com/pistachioarch/pistachioarch/wire/platform"
 	"github.com/pistachioarch/pistachioarch/wire/target"
 )
@@ -82,10 +83,10 @@
 // host are invalid.
 func New(opt Options) (*Node, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	client := &http.Client{Transport: &http.Transport{
+	client := httpclient.New(&http.Transport{
 		DialContext: opt.Dialer.DialContext, MaxIdleConnsPerHost: maxConnsPerTarget, MaxConnsPerHost: maxConnsPerTarget,
 		IdleConnTimeout: 90 * time.Second, DisableCompression: true,
-	}}
+	})
 	n := &Node{
 		options: opt, settings: opt.Settings, log: opt.Log, startedAt: time.Now(), client: client,
 		platform: platform.New(client, opt.Settings.PlatformURL, opt.Settings.PlatformToken),
