wire/api, ctl: a status that is no success is a failure for pistachioctl too

Found in the other readers of answers: the client of the hosts' own interface took any status below 400 for success, so that 000 or a redirect ended a program or brought an empty answer, and net/http followed the redirect. The load tool read the stand-ins' reports whatever their status.

Change: success is 200 to 299, and pistachioctl's clients are those of httpclient.New; the one of all commands keeps the proxy settings of net/http's default.

--- a/ctl/command/command.go
+++ b/ctl/command/command.go
@@ -23,6 +23,7 @@
 	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/ctl/store"
 	"github.com/pistachioarch/pistachioarch/wire/api"
+	"github.com/pistachioarch/pistachioarch/wire/httpclient"
 	"github.com/pistachioarch/pistachioarch/wire/platform"
 )
 
@@ -64,7 +65,7 @@
 func Main(args []string, out, errw io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
-	a := &app{globals: &Globals{}, out: out, errw: errw, ctx: ctx, http: &http.Client{}}
+	a := &app{globals: &Globals{}, out: out, errw: errw, ctx: ctx, http: httpclient.New(http.DefaultTransport.(*http.Transport).Clone())}
 	p := flags.NewNamedParser("pistachioctl", flags.HelpFlag|flags.PassDoubleDash)
 	p.LongDescription = "Operates pistachioarch: declarations, hosts, stand-ins, load and replay.\n" +
 		"Exit codes: 0 success, 1 failure, 2 invalid command line, 3 an expected outcome was missed or a declaration is invalid, 4 another operator was faster."
--- a/ctl/command/load.go
+++ b/ctl/command/load.go
@@ -10,6 +10,7 @@
 	"github.com/pistachioarch/pistachioarch/core/decl"
 	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/ctl/load"
+	"github.com/pistachioarch/pistachioarch/wire/httpclient"
 )
 
 type loadCommand struct {
@@ -33,7 +34,7 @@
 	}
 	plan := load.Plan{
 		Hosts: c.CallerHosts, Kinds: kinds, Programs: c.Programs, Parallel: c.Parallel, Seed: c.Seed, RetryTimeout: c.RetryTimeout,
-		Client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: c.Parallel}},
+		Client: httpclient.New(&http.Transport{MaxIdleConnsPerHost: c.Parallel}),
 	}
 	if err := c.addStandins(&plan); err != nil {
 		return err
--- a/ctl/load/check.go
+++ b/ctl/load/check.go
@@ -10,6 +10,7 @@
 
 	"github.com/pistachioarch/pistachioarch/core/failure"
 	"github.com/pistachioarch/pistachioarch/ctl/standin"
+	"github.com/pistachioarch/pistachioarch/wire/httpclient"
 )
 
 // checkOrders compares the outcomes that callers received for their orders with the
@@ -126,5 +127,8 @@
 		return failure.Wrap(err, failure.TargetFailed, "%s", url)
 	}
 	defer func() { _ = resp.Body.Close() }() // the body has been decoded
+	if !httpclient.IsSuccess(resp.StatusCode) {
+		return failure.New(failure.TargetFailed, "%s: %s", url, resp.Status)
+	}
 	return failure.Wrap(json.NewDecoder(resp.Body).Decode(out), failure.TargetFailed, "%s", url)
 }
--- a/wire/api/client.go
+++ b/wire/api/client.go
@@ -12,6 +12,7 @@
 	"github.com/dghubble/sling"
 
 	"github.com/pistachioarch/pistachioarch/core/failure"
+	"github.com/pistachioarch/pistachioarch/wire/httpclient"
 )
 
 // maxEventBytes bounds the length of one line of an event stream.
@@ -75,7 +76,7 @@
 	if err != nil {
 		return transportError(err)
 	}
-	if resp.StatusCode >= http.StatusBadRequest {
+	if !httpclient.IsSuccess(resp.StatusCode) {
 		return decodeError(resp.StatusCode, body)
 	}
 	if out == nil {
@@ -108,7 +109,7 @@
 		return Answer{}, err
 	}
 	defer func() { _ = resp.Body.Close() }() // the final event was read or the stream is broken
-	if resp.StatusCode >= http.StatusBadRequest {
+	if !httpclient.IsSuccess(resp.StatusCode) {
 		body, _ := io.ReadAll(resp.Body) // if the body is truncated, the status is still reported
 		return Answer{}, decodeError(resp.StatusCode, body)
 	}
