wire/targetpool, core/request: an answer to several requests is none to this one

Found by looking for the class, each part of a head: a head may name two requests, or have two signatures. The first line of the two was believed, and both reached the caller, signed.

Change: a head whose lines of the ID, or of the signature, differ fails the send with bad_answer at once, whatever its status. Equal lines are as before.

Evidence: TestAnswerToSeveralRequestsIsNotPassedOn on the code before: 200 in place of 502 for requests that must not run twice, in three of its four forms (the other request first was skipped as a late answer).

--- a/core/request/request.go
+++ b/core/request/request.go
@@ -3,7 +3,10 @@
 // boundary, so that other packages are independent of header names.
 package request
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Part is one part of a prompt, the unit in which the prefix cache of a model engine holds
 // prompts.
@@ -58,6 +61,8 @@
 	Signed bool
 	// Encoded reports that the body has a content coding.
 	Encoded bool
+	// Contradictory reports that the head names several requests or has several signatures.
+	Contradictory bool
 	// NotRun reports that, by the target's statement, the request did not run there.
 	NotRun bool
 	// Misdirected reports that the address belongs to another target.
@@ -70,6 +75,11 @@
 	IdleTimeout time.Duration
 }
 
+// Differ reports whether the values of a header are not all the same.
+func Differ(values []string) bool {
+	return slices.ContainsFunc(values, func(v string) bool { return v != values[0] })
+}
+
 // ReportsFull reports whether the target was full by its own report.
 func (a Answer) ReportsFull() bool {
 	return a.HasLoad && (a.Load.Running >= a.Load.Capacity || a.Load.Waiting > 0)
--- a/daemon/entry/malformed_answer_test.go
+++ b/daemon/entry/malformed_answer_test.go
@@ -117,6 +117,14 @@
 	}
 }
 
+// An answer that names another request too, or has another signature, must not be passed on.
+func TestAnswerToSeveralRequestsIsNotPassedOn(t *testing.T) {
+	requireNotPassedOn(t, "two requests", withLine(ownheaders.ID+": 2"))
+	requireNotPassedOn(t, "two requests, the other one first", func(a string) string { return strings.Replace(a, "\r\n", "\r\n"+ownheaders.ID+": 2\r\n", 1) })
+	requireNotPassedOn(t, "two signatures", withLine(ownheaders.Signature+": t"))
+	requireNotPassedOn(t, "a signature and none", withLine(ownheaders.Signature+":"))
+}
+
 // An answer after informational ones, and one without content, must be passed on.
 func TestAnswerWithoutContentIsPassedOn(t *testing.T) {
 	const informational = "HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
--- a/wire/ownheaders/ownheaders.go
+++ b/wire/ownheaders/ownheaders.go
@@ -78,7 +78,8 @@
 func (Headers) Answer(status int, h http.Header) request.Answer {
 	return request.Answer{
 		ID: h.Get(ID), Signed: h.Get(Signature) != "", Encoded: h.Get("Content-Encoding") != "", NotRun: h.Get(NotRun) != "",
-		Misdirected: status == http.StatusMisdirectedRequest,
+		Contradictory: request.Differ(h.Values(ID)) || request.Differ(h.Values(Signature)),
+		Misdirected:   status == http.StatusMisdirectedRequest,
 	}
 }
 
--- a/wire/targetpool/exchange.go
+++ b/wire/targetpool/exchange.go
@@ -177,7 +177,10 @@
 			continue
 		}
 		answer := decode(resp.StatusCode, resp.Header)
-		if answer.ID == "" && x.reused {
+		switch {
+		case answer.Contradictory:
+			return nil, failure.Unknown(failure.BadAnswer, "answer of %s to several requests or with several signatures", r.Address)
+		case answer.ID == "" && x.reused:
 			return nil, failure.Unknown(failure.BadAnswer, "answer of %s without an ID, which may be to an earlier request", r.Address)
 		}
 		if answer.ID != "" && answer.ID != r.ID {
