daemon/entry: an encoded body is no answer with any status

Found by looking for the class: a failure of a target whose body was encoded reached the caller with the target's status and signature, and a success whose coding stood in the second of two lines did too. Callers ask for no coding and cannot read it: such a body is not the target's.

Cause: only successes were looked at, and only the first line of the field.

Change: any answer but a refusal, of which nothing is passed on, fails the send with bad_answer if one of the lines names a coding.

Evidence: TestEncodedFailureIsNotPassedOn on the code before: 200, 301, 404 and 500 are passed on, encoded.

--- a/core/request/request.go
+++ b/core/request/request.go
@@ -80,6 +80,11 @@
 	return slices.ContainsFunc(values, func(v string) bool { return v != values[0] })
 }
 
+// HasValue reports whether one of the values of a header is not empty.
+func HasValue(values []string) bool {
+	return slices.ContainsFunc(values, func(v string) bool { return v != "" })
+}
+
 // ReportsFull reports whether the target was full by its own report.
 func (a Answer) ReportsFull() bool {
 	return a.HasLoad && (a.Load.Running >= a.Load.Capacity || a.Load.Waiting > 0)
--- a/daemon/entry/bad_answer_test.go
+++ b/daemon/entry/bad_answer_test.go
@@ -94,6 +94,15 @@
 	}
 }
 
+// A failure whose body is encoded, also by the second of two lines, is no more the target's answer than a success.
+func TestEncodedFailureIsNotPassedOn(t *testing.T) {
+	for _, status := range []string{"200 OK", "301 x", "404 x", "500 x"} {
+		for _, lines := range []string{"Content-Encoding: gzip", "Content-Encoding:\r\nContent-Encoding: gzip"} {
+			requireNotPassedOn(t, status+" "+lines, func(a string) string { return withLine(lines)(withStatus(status)(a)) })
+		}
+	}
+}
+
 // A call that is sent a second time must not get the unsigned success that arrives first.
 func TestUnsignedSuccessDoesNotWinHedgedCall(t *testing.T) {
 	release := make(chan struct{})
--- a/daemon/entry/send.go
+++ b/daemon/entry/send.go
@@ -49,7 +49,7 @@
 }
 
 // roundTrip sends a request to a target and records what the head of the answer says of the
-// target. A success that is no answer of the target to this request is returned as a failure, so that
+// target. What is no answer of the target to this request is returned as a failure, so that
 // no path can pass it on, keep it or count it for the target.
 func (h *Host) roundTrip(ctx context.Context, t balance.TargetInfo, req *targetpool.Request) (*targetpool.Response, error) {
 	sentAt := time.Now()
@@ -57,7 +57,7 @@
 	if err == nil {
 		h.Meter.Observe("target_head", time.Since(sentAt))
 		h.reachability.recordHeard(t.ID)
-		err = checkSuccess(t, resp)
+		err = checkOrigin(t, resp)
 	}
 	switch {
 	case err == nil:
@@ -75,20 +75,22 @@
 // isSuccess reports whether the status of an answer means that the target served the request.
 func isSuccess(status int) bool { return status < http.StatusMultipleChoices }
 
-// checkSuccess returns the failure of an answer that claims a success and is not the target's own answer to
-// this request. It closes such an answer. Other answers pass.
-func checkSuccess(t balance.TargetInfo, resp *targetpool.Response) error {
-	if !isSuccess(resp.Status) || resp.Answer.NotRun {
-		return nil
+// checkOrigin returns the failure of an answer that is not the target's own answer to this request: a success must say
+// so, and the body of no answer that is passed on may be encoded. It closes such an answer.
+func checkOrigin(t balance.TargetInfo, resp *targetpool.Response) error {
+	if resp.Answer.NotRun {
+		return nil // nothing of it is passed on
 	}
 	fault := ""
 	switch {
+	case resp.Answer.Encoded:
+		fault = "an encoded body, which no caller asks for"
+	case !isSuccess(resp.Status):
+		return nil
 	case !resp.Answer.Signed:
 		fault = "no signature"
 	case resp.Answer.ID == "":
 		fault = "no request ID" // it may answer an earlier request
-	case resp.Answer.Encoded:
-		fault = "an encoded body, which no caller asks for"
 	default:
 		return nil
 	}
--- a/wire/ownheaders/ownheaders.go
+++ b/wire/ownheaders/ownheaders.go
@@ -77,7 +77,7 @@
 // Answer decodes the status and headers of a target's answer.
 func (Headers) Answer(status int, h http.Header) request.Answer {
 	return request.Answer{
-		ID: h.Get(ID), Signed: h.Get(Signature) != "", Encoded: h.Get("Content-Encoding") != "", NotRun: h.Get(NotRun) != "",
+		ID: h.Get(ID), Signed: h.Get(Signature) != "", Encoded: request.HasValue(h.Values("Content-Encoding")), NotRun: h.Get(NotRun) != "",
 		Contradictory: request.Differ(h.Values(ID)) || request.Differ(h.Values(Signature)),
 		Misdirected:   status == http.StatusMisdirectedRequest,
 	}
