daemon/entry: a success without its signature on the caller's side is no success

Found by looking for the class, each part of a head: a target's Connection header may name the signature or the ID. Both were read and the answer taken for signed; then they were removed as fields of the connection, as RFC 9110 section 7.6.1 asks, and the caller got a success without them.

Change: what signs an answer and names its request is read of what reaches the caller.

Evidence: TestSuccessWhoseSignatureIsNotPassedOnIsNoSuccess fails on the code before on all four kinds of route.

--- a/daemon/entry/bad_answer_test.go
+++ b/daemon/entry/bad_answer_test.go
@@ -103,6 +103,12 @@
 	}
 }
 
+// A signature or an ID that is declared to concern only the target's connection does not reach the caller.
+func TestSuccessWhoseSignatureIsNotPassedOnIsNoSuccess(t *testing.T) {
+	requireNotPassedOn(t, "signature", withLine("Connection: keep-alive, "+strings.ToLower(ownheaders.Signature)))
+	requireNotPassedOn(t, "request ID", withLine("Connection: "+ownheaders.ID))
+}
+
 // A call that is sent a second time must not get the unsigned success that arrives first.
 func TestUnsignedSuccessDoesNotWinHedgedCall(t *testing.T) {
 	release := make(chan struct{})
--- a/daemon/entry/send.go
+++ b/daemon/entry/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pistachioarch/pistachioarch/core/balance"
@@ -98,9 +99,26 @@
 	return failure.Unknown(failure.BadAnswer, "answer of target %s with status %d has %s", t.ID, resp.Status, fault)
 }
 
-// decodeAnswer decodes the head of a target's answer.
+// decodeAnswer decodes the head of a target's answer. Fields that the target declares to concern only its connection do
+// not reach the caller, and so neither sign the answer nor name the request.
 func (h *Host) decodeAnswer(status int, header map[string][]string) request.Answer {
-	return h.Headers.Answer(status, header)
+	answer := h.Headers.Answer(status, header)
+	if !declaresOtherFields(header) {
+		return answer
+	}
+	passedOn := http.Header(header).Clone()
+	removeHopByHopHeaders(passedOn)
+	remaining := h.Headers.Answer(status, passedOn)
+	answer.Signed, answer.ID = remaining.Signed, remaining.ID
+	return answer
+}
+
+// declaresOtherFields reports whether the Connection header names a field that is there and not in hopByHopHeaders.
+func declaresOtherFields(header http.Header) bool {
+	return slices.ContainsFunc(connectionOptions(header), func(name string) bool {
+		name = http.CanonicalHeaderKey(name)
+		return header[name] != nil && !slices.Contains(hopByHopHeaders, name)
+	})
 }
 
 // newTargetRequest builds the request to a target.
