--- a/daemon/entry/malformed_answer_test.go
+++ b/daemon/entry/malformed_answer_test.go
@@ -183,3 +183,46 @@
 		})
 	}
 }
+
+// A stream must not continue with what is no answer, nor end with it as whole: the next target continues it.
+func TestStreamDoesNotContinueWithMalformedAnswer(t *testing.T) {
+	for name, spoil := range map[string]func(string) string{
+		"status": withStatus("000 x"), "blank in a name": withLine("X-Note more: a"), "length and coding": withLengthAndCoding, "two requests": withLine(ownheaders.ID + ": 2"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			spoiled := &atomic.Bool{}
+			answer := func(_ int, r received, id string) (string, bool) {
+				switch {
+				case r.LastEvent == "":
+					return streamHead(id) + eventChunks(1, "a", "b") + "5\r\nid: 3", true
+				case spoiled.CompareAndSwap(false, true):
+					return spoil(okStream(id, 3, "forged")), false
+				}
+				return okStream(id, 3, "c"), false
+			}
+			s := newSystem(t, newFakeTarget(t, "t1", answer), newFakeTarget(t, "t2", answer), newFakeTarget(t, "t3", answer))
+			s.allowAttempts("/quick/", 3)
+			got := s.postStream("p", 1)
+			require.NoError(t, got.err)
+			require.True(t, spoiled.Load())
+			require.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n", got.body)
+		})
+	}
+}
+
+// What is no answer counts as a failure of its target and as a run without an answer, but not as a crash.
+func TestMalformedAnswerCountsAgainstItsTarget(t *testing.T) {
+	for name, spoil := range map[string]func(string) string{"sound": strings.Clone, "status": withStatus("000 x"), "blank in a name": withLine("X-Note more: a")} {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t, newFakeTarget(t, "t1", func(_ int, _ received, id string) (string, bool) { return spoil(okAnswer(id, "a")), false }))
+			s.post("/once/", "x", ownheaders.ID, "1")
+			target := s.host.State().Targets[0]
+			require.Equal(t, name != "sound", target.Failures > 0)
+			require.Zero(t, target.InFlight)
+			require.False(t, s.host.lastCrashes.isRecent("s"))
+			s.host.runWatches.mu.Lock()
+			defer s.host.runWatches.mu.Unlock()
+			require.Equal(t, name != "sound", len(s.host.runWatches.byKey) == 1)
+		})
+	}
+}
