--- a/daemon/entry/reset_answer_test.go
+++ b/daemon/entry/reset_answer_test.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"bufio"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -12,6 +10,7 @@
 
 	"github.com/pistachioarch/pistachioarch/core/balance"
 	"github.com/pistachioarch/pistachioarch/wire/ownheaders"
+	"github.com/pistachioarch/pistachioarch/wire/rawserver"
 )
 
 // upload is more than the buffers of a connection hold.
@@ -26,27 +25,8 @@
 
 // addUnreadTarget adds a target that reads only the head of each request, sends answer and ends the connection.
 func (s *testSystem) addUnreadTarget(id string, answer func(id string) string, end func(c *net.TCPConn)) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(s.t, err)
-	s.t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = io.WriteString(c, answer(req.Header.Get(ownheaders.ID)))
-			}
-			end(c.(*net.TCPConn))
-		}
-	}()
-	s.host.registry.SetTarget(balance.TargetInfo{ID: id, Service: "s", Address: l.Addr().String(), DataCentre: "dc1", Capacity: 4})
-}
-
-func resetConn(c *net.TCPConn) {
-	_ = c.SetLinger(0)
-	_ = c.Close()
+	address := rawserver.Start(s.t, func(r *http.Request) string { return answer(r.Header.Get(ownheaders.ID)) }, end)
+	s.host.registry.SetTarget(balance.TargetInfo{ID: id, Service: "s", Address: address, DataCentre: "dc1", Capacity: 4})
 }
 
 // partAnswers are parts of answers without a length, by the route they are for.
@@ -64,8 +44,8 @@
 		for try := range 6 {
 			s := newSystem(t)
 			s.host.table.Load().Limits.BodyBytes = int64(len(upload))
-			s.addUnreadTarget("t1", part, resetConn)
-			s.addUnreadTarget("t2", part, resetConn)
+			s.addUnreadTarget("t1", part, rawserver.Reset)
+			s.addUnreadTarget("t2", part, rawserver.Reset)
 			if try%2 == 1 {
 				s.enableHedging(5)
 			}
@@ -81,7 +61,7 @@
 	for path, whole := range partAnswers {
 		s := newSystem(t)
 		s.host.table.Load().Limits.BodyBytes = int64(len(upload))
-		s.addUnreadTarget("t1", whole, func(c *net.TCPConn) { _ = c.CloseWrite() })
+		s.addUnreadTarget("t1", whole, rawserver.End)
 		got := s.post(path, upload, ownheaders.ID, "1", ownheaders.MaxTokens, "12")
 		require.NoError(t, got.err)
 		require.Equal(t, http.StatusOK, got.status, path)
--- a/wire/httpclient/httpclient_test.go
+++ b/wire/httpclient/httpclient_test.go
@@ -1,7 +1,6 @@
 package httpclient
 
 import (
-	"bufio"
 	"bytes"
 	"io"
 	"net"
@@ -10,33 +9,13 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/pistachioarch/pistachioarch/wire/rawserver"
 )
 
-// serve answers each connection with raw bytes once only the head of its request was read, and then ends it with end.
+// serve starts a server that answers with raw bytes and returns its URL.
 func serve(t *testing.T, raw string, end func(c *net.TCPConn)) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = io.WriteString(c, raw)
-			}
-			end(c.(*net.TCPConn))
-		}
-	}()
-	return "http://" + l.Addr().String()
-}
-
-func endOrderly(c *net.TCPConn) { _ = c.CloseWrite() }
-
-func reset(c *net.TCPConn) {
-	_ = c.SetLinger(0)
-	_ = c.Close()
+	return "http://" + rawserver.Start(t, rawserver.Always(raw), end)
 }
 
 // post sends a body and returns the status and body of the answer.
@@ -66,7 +45,7 @@
 		"informational with a body": withLength("103 x", "", forged), "blank in a name of an informational answer": "HTTP/1.1 103 x\r\nA b: c\r\n\r\n" + forged,
 		"blank in a name": withLength("200 OK", "X-Note more: a\r\n", "x"), "blank after the name of the length": "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n\r\nxforged",
 	} {
-		_, body, err := post(t, serve(t, raw, endOrderly), []byte("x"))
+		_, body, err := post(t, serve(t, raw, rawserver.End), []byte("x"))
 		require.Error(t, err, "%s: %q", name, body)
 	}
 }
@@ -74,7 +53,7 @@
 // The part of an answer that arrived before a reset must not be taken for all of it.
 func TestResetDuringUploadIsFailure(t *testing.T) {
 	upload := make([]byte, 16<<20)
-	url := serve(t, "HTTP/1.1 200 OK\r\n\r\npart", reset)
+	url := serve(t, "HTTP/1.1 200 OK\r\n\r\npart", rawserver.Reset)
 	for range 200 {
 		_, _, err := post(t, url, upload)
 		require.Error(t, err)
@@ -88,7 +67,7 @@
 		"HTTP/1.1 103 x\r\nLink: a\r\n\r\n" + withLength("200 x", "", "whole"): "200 whole",
 		"HTTP/1.1 204 x\r\n\r\n":                                               "204 ",
 	} {
-		status, body, err := post(t, serve(t, raw, endOrderly), []byte("x"))
+		status, body, err := post(t, serve(t, raw, rawserver.End), []byte("x"))
 		require.NoError(t, err)
 		require.Equal(t, want, strconv.Itoa(status)+" "+body)
 	}
@@ -96,8 +75,8 @@
 
 // A redirect must not send the request to another host, nor bring an answer of that.
 func TestRedirectIsReturned(t *testing.T) {
-	other := serve(t, withLength("200 OK", "", "forged"), endOrderly)
-	status, body, err := post(t, serve(t, withLength("307 x", "Location: "+other+"\r\n", ""), endOrderly), nil)
+	other := serve(t, withLength("200 OK", "", "forged"), rawserver.End)
+	status, body, err := post(t, serve(t, withLength("307 x", "Location: "+other+"\r\n", ""), rawserver.End), nil)
 	require.NoError(t, err)
 	require.Equal(t, http.StatusTemporaryRedirect, status)
 	require.Empty(t, body)
--- a/wire/orderlyend/orderlyend_test.go
+++ b/wire/orderlyend/orderlyend_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/pistachioarch/pistachioarch/wire/rawserver"
 )
 
 // upload is more than the buffers of a connection hold.
@@ -31,12 +33,6 @@
 	return l.Addr().String()
 }
 
-// reset closes a connection with a reset in place of an orderly end.
-func reset(c *net.TCPConn) {
-	_ = c.SetLinger(0)
-	_ = c.Close()
-}
-
 // readDuringUpload reads all that a peer sends while an upload to it is being written.
 func readDuringUpload(t *testing.T, address string) (string, error) {
 	opened, err := net.Dial("tcp", address)
@@ -51,7 +47,7 @@
 // A reset must not read as an orderly end, whether the write or the read is told of it.
 func TestResetDuringUploadIsNoOrderlyEnd(t *testing.T) {
 	for range 50 {
-		_, err := readDuringUpload(t, peer(t, reset))
+		_, err := readDuringUpload(t, peer(t, rawserver.Reset))
 		require.Error(t, err)
 	}
 }
@@ -59,10 +55,10 @@
 // An orderly end must read as one although the upload was not read, also if a reset follows it.
 func TestOrderlyEndDuringUploadIsKept(t *testing.T) {
 	for name, end := range map[string]func(c *net.TCPConn){
-		"left open":        func(c *net.TCPConn) { _ = c.CloseWrite() },
-		"closed after it":  func(c *net.TCPConn) { _ = c.CloseWrite(); _ = c.Close() },
-		"reset after it":   func(c *net.TCPConn) { _ = c.CloseWrite(); reset(c) },
-		"read to its end":  func(c *net.TCPConn) { _ = c.CloseWrite(); _, _ = io.Copy(io.Discard, c) },
+		"left open":        rawserver.End,
+		"closed after it":  func(c *net.TCPConn) { rawserver.End(c); _ = c.Close() },
+		"reset after it":   func(c *net.TCPConn) { rawserver.End(c); rawserver.Reset(c) },
+		"read to its end":  func(c *net.TCPConn) { rawserver.End(c); _, _ = io.Copy(io.Discard, c) },
 		"closed when read": func(c *net.TCPConn) { _, _ = io.CopyN(io.Discard, c, int64(len(upload)-1)); _ = c.Close() },
 	} {
 		for range 20 {
--- a/wire/targetpool/reset_test.go
+++ b/wire/targetpool/reset_test.go
@@ -1,48 +1,30 @@
 package targetpool
 
 import (
-	"bufio"
-	"io"
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/pistachioarch/pistachioarch/wire/rawserver"
 )
 
 // uploadBytes is more than the buffers of a connection hold.
 const uploadBytes = 16 << 20
 
 // answerUnread answers each connection once only the head of its request was read, and then ends it.
-func answerUnread(t *testing.T, raw string, end func(c *net.TCPConn)) *scriptedTarget {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = io.WriteString(c, raw)
-			}
-			end(c.(*net.TCPConn))
-		}
-	}()
-	return &scriptedTarget{t: t, listener: l}
-}
-
-func reset(c *net.TCPConn) {
-	_ = c.SetLinger(0)
-	_ = c.Close()
+func answerUnread(t *testing.T, raw string, end func(c *net.TCPConn)) *Request {
+	return &Request{
+		Address: rawserver.Start(t, rawserver.Always(raw), end), Method: "POST", URI: "/", Host: "example", Header: http.Header{"Id": {"1"}},
+		Body: make([]byte, uploadBytes), ID: "1", MaxIdle: time.Minute,
+	}
 }
 
 // The part of an answer without a length that arrived before a reset must not be taken for all of it.
 func TestResetDuringUploadDoesNotEndAnswer(t *testing.T) {
-	s := answerUnread(t, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\npart", reset)
-	r := s.request("1")
-	r.Body = make([]byte, uploadBytes)
+	r := answerUnread(t, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\npart", rawserver.Reset)
 	for range 30 {
 		_, err := roundTrip(t, New(&net.Dialer{}), r)
 		require.Error(t, err)
@@ -56,15 +38,13 @@
 		raw string
 		end func(c *net.TCPConn)
 	}{
-		"no length, left open":    {noLength, func(c *net.TCPConn) { _ = c.CloseWrite() }},
-		"no length, then reset":   {noLength, func(c *net.TCPConn) { _ = c.CloseWrite(); reset(c) }},
-		"with a length":           {withLength, func(*net.TCPConn) {}},
-		"with a length and reset": {withLength, reset},
+		"no length, left open":    {noLength, rawserver.End},
+		"no length, then reset":   {noLength, func(c *net.TCPConn) { rawserver.End(c); rawserver.Reset(c) }},
+		"with a length":           {withLength, rawserver.LeaveOpen},
+		"with a length and reset": {withLength, rawserver.Reset},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := answerUnread(t, c.raw, c.end)
-			r := s.request("1")
-			r.Body = make([]byte, uploadBytes)
+			r := answerUnread(t, c.raw, c.end)
 			for range 10 {
 				got, err := roundTrip(t, New(&net.Dialer{}), r)
 				require.NoError(t, err)
