--- a/wire/answerhead/answerhead.go
+++ b/wire/answerhead/answerhead.go
@@ -12,14 +12,14 @@
 type state int
 
 const (
-	ended          state = iota // not in a head
-	statusLine                  // up to the status code
-	codeEnd                     // right after the status code
-	reason                      // the rest of the status line
-	firstLineStart              // a field or the end of the head
-	lineStart                   // the same, or the continuation of a field
-	name
-	value
+	stateEnded     state = iota // not in a head
+	stateStatus                 // the status line up to the status code
+	stateAfterCode              // right after the status code
+	stateReason                 // the rest of the status line
+	stateFirstLine              // the start of a field, or the end of the head
+	stateLine                   // the same, or the start of a line that continues a value
+	stateName
+	stateValue
 )
 
 // statusForm is the start of a status line; a 0 stands for any digit.
@@ -50,14 +50,14 @@
 
 // Start makes the next byte the first one of a head.
 func (c *Checker) Start() {
-	*c = Checker{state: statusLine, framing: framing{name: c.framing.name[:0]}}
+	*c = Checker{state: stateStatus, framing: framing{name: c.framing.name[:0]}}
 }
 
-// Check checks bytes that have arrived, until the head ends. It fails with BadAnswer at the first byte that no head
-// of an answer can have there.
+// Check checks bytes that have arrived, until the head ends. At the first byte that no head of an answer can have
+// there, and at the end of a head that contradicts itself, it fails with BadAnswer; whether the request ran is unknown.
 func (c *Checker) Check(p []byte) error {
 	for _, b := range p {
-		if c.state == ended {
+		if c.state == stateEnded {
 			return nil
 		}
 		if err := c.next(b); err != nil {
@@ -73,7 +73,7 @@
 	case b == '\n' && c.mayEndLine():
 		return c.endLine()
 	case c.lastCR:
-		return failure.New(failure.BadAnswer, "a carriage return inside a line of the head")
+		return failure.Unknown(failure.BadAnswer, "a carriage return inside a line of the head")
 	case b == '\r' && c.mayEndLine():
 		c.lastCR = true
 		return nil
@@ -84,19 +84,19 @@
 }
 
 // mayEndLine reports whether a line may end before the next byte.
-func (c *Checker) mayEndLine() bool { return c.state != statusLine && c.state != name }
+func (c *Checker) mayEndLine() bool { return c.state != stateStatus && c.state != stateName }
 
 // endLine ends a line; an empty one ends the head.
 func (c *Checker) endLine() error {
 	c.index, c.lastCR = 0, false
 	switch c.state {
-	case firstLineStart, lineStart:
-		c.state = ended
+	case stateFirstLine, stateLine:
+		c.state = stateEnded
 		return c.framing.check()
-	case codeEnd, reason:
-		c.state = firstLineStart
+	case stateAfterCode, stateReason:
+		c.state = stateFirstLine
 	default:
-		c.state = lineStart
+		c.state = stateLine
 	}
 	return nil
 }
@@ -104,22 +104,22 @@
 // inLine checks a byte of a line other than its end.
 func (c *Checker) inLine(b byte) error {
 	switch c.state {
-	case statusLine:
+	case stateStatus:
 		return c.inStatusLine(b)
-	case codeEnd:
-		c.state = reason
+	case stateAfterCode:
+		c.state = stateReason
 		if b != ' ' {
-			return failure.New(failure.BadAnswer, "byte %q after the status code", b)
+			return failure.Unknown(failure.BadAnswer, "byte %q after the status code", b)
 		}
-	case reason:
+	case stateReason:
 		if !isText(b) {
-			return failure.New(failure.BadAnswer, "byte %q in the reason of the status", b)
+			return failure.Unknown(failure.BadAnswer, "byte %q in the reason of the status", b)
 		}
-	case firstLineStart, lineStart, name:
+	case stateFirstLine, stateLine, stateName:
 		return c.inName(b)
-	case value:
+	case stateValue:
 		if !isText(b) {
-			return failure.New(failure.BadAnswer, "byte %q in the value of a field", b)
+			return failure.Unknown(failure.BadAnswer, "byte %q in the value of a field", b)
 		}
 		c.framing.addValueByte(b)
 	}
@@ -130,15 +130,15 @@
 func (c *Checker) inName(b byte) error {
 	switch {
 	case isNameByte(b):
-		c.state = name
+		c.state = stateName
 		c.framing.addNameByte(b)
-	case c.state == name && b == ':':
-		c.state = value
+	case c.state == stateName && b == ':':
+		c.state = stateValue
 		c.framing.endName()
-	case c.state == lineStart && (b == ' ' || b == '\t'):
-		c.state = value
+	case c.state == stateLine && (b == ' ' || b == '\t'):
+		c.state = stateValue
 	default:
-		return failure.New(failure.BadAnswer, "byte %q in the name of a field", b)
+		return failure.Unknown(failure.BadAnswer, "byte %q in the name of a field", b)
 	}
 	return nil
 }
@@ -158,13 +158,13 @@
 	isDigit := b >= '0' && b <= '9'
 	switch {
 	case c.index == codeIndex && (b < minStatusClass || b > maxStatusClass):
-		return failure.New(failure.BadAnswer, "a status that begins with %q", b)
+		return failure.Unknown(failure.BadAnswer, "a status that begins with %q", b)
 	case expected == '0' && !isDigit, expected != '0' && b != expected:
-		return failure.New(failure.BadAnswer, "byte %q at position %d of the status line", b, c.index)
+		return failure.Unknown(failure.BadAnswer, "byte %q at position %d of the status line", b, c.index)
 	}
 	c.framing.addStatusByte(c.index, b)
 	if c.index == len(statusForm)-1 {
-		c.state = codeEnd
+		c.state = stateAfterCode
 	}
 	return nil
 }
@@ -181,7 +181,7 @@
 	for name := range fields {
 		for i := range len(name) {
 			if !isNameByte(name[i]) {
-				return failure.New(failure.BadAnswer, "byte %q in the name of a field", name[i])
+				return failure.Unknown(failure.BadAnswer, "byte %q in the name of a field", name[i])
 			}
 		}
 	}
--- a/wire/answerhead/answerhead_test.go
+++ b/wire/answerhead/answerhead_test.go
@@ -21,7 +21,7 @@
 		err = c.Check([]byte(text[:n]))
 		text = text[n:]
 	}
-	return c.state == 0, err
+	return c.state == stateEnded, err
 }
 
 // checkAll requires that each text is the start of a head or not, whatever pieces it arrives in.
@@ -110,7 +110,7 @@
 		if c.Check(text[i:i+1]) != nil {
 			return 0, false
 		}
-		if c.state == ended {
+		if c.state == stateEnded {
 			return i + 1, true
 		}
 	}
--- a/wire/answerhead/framing.go
+++ b/wire/answerhead/framing.go
@@ -12,17 +12,17 @@
 	codingName = []byte("Transfer-Encoding")
 )
 
-// Status codes whose answers have no body that a length or a coding could be of, RFC 9112 section 6.3.
+// Answers with these status codes have no body, RFC 9112 section 6.3.
 const (
 	switchingProtocols = "101"
 	noContent          = "204"
-	informationalClass = '1'
+	informationalClass = '1' // the first digit
 )
 
 // minorVersionIndex is the index of the minor version in statusForm.
 const minorVersionIndex = len("HTTP/1.")
 
-// framing is what a head says of where the body ends.
+// framing collects what a head says of where the body ends.
 type framing struct {
 	minorVersion byte
 	code         [3]byte
@@ -66,13 +66,13 @@
 	hasNoBody := code == noContent || f.code[0] == informationalClass
 	switch {
 	case code == switchingProtocols:
-		return failure.New(failure.BadAnswer, "another protocol, which was not asked for")
+		return failure.Unknown(failure.BadAnswer, "another protocol, which was not asked for")
 	case hasNoBody && (f.hasContent || f.hasCoding):
-		return failure.New(failure.BadAnswer, "a body with status %s, which has none", code)
+		return failure.Unknown(failure.BadAnswer, "a body with status %s, which has none", code)
 	case f.hasCoding && f.hasLength:
-		return failure.New(failure.BadAnswer, "both a length and a transfer coding")
+		return failure.Unknown(failure.BadAnswer, "both a length and a transfer coding")
 	case f.hasCoding && f.minorVersion == '0':
-		return failure.New(failure.BadAnswer, "a transfer coding in HTTP/1.0, which has none")
+		return failure.Unknown(failure.BadAnswer, "a transfer coding in HTTP/1.0, which has none")
 	}
 	return nil
 }
--- a/wire/httpclient/httpclient.go
+++ b/wire/httpclient/httpclient.go
@@ -61,7 +61,7 @@
 	if length := header.Get("Content-Length"); length != "" && length != "0" {
 		return failure.Unknown(failure.BadAnswer, "a body of %s bytes with status %d, which has none", length, status)
 	}
-	return checkNames(header)
+	return answerhead.CheckNames(header)
 }
 
 // checkHead fails if a head is none that a host can have sent as the answer.
@@ -69,12 +69,5 @@
 	if resp.StatusCode < http.StatusOK || resp.StatusCode > answerhead.MaxStatus {
 		return failure.Unknown(failure.BadAnswer, "status %d", resp.StatusCode)
 	}
-	return checkNames(resp.Header)
-}
-
-func checkNames(fields map[string][]string) error {
-	if err := answerhead.CheckNames(fields); err != nil {
-		return failure.Unknown(failure.BadAnswer, "%v", err)
-	}
-	return nil
+	return answerhead.CheckNames(resp.Header)
 }
